--- /dev/null
+++ b/src/cell/circuit_breaker.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cell/backoff.hpp"
+#include "domain/instant.hpp"
+
+#include <cstdint>
+
+namespace acaciastile
+{
+
+struct circuit_breaker_settings
+{
+    std::uint32_t failures_to_open = 3; ///< In a row.
+    backoff_settings reopen{milliseconds{500}, milliseconds{10'000}};
+};
+
+/// Stops calls to a worker or a peer that keeps failing, and lets one through
+/// after a delay to see whether it is back.
+class circuit_breaker
+{
+public:
+    [[nodiscard]] static circuit_breaker
+    create(circuit_breaker_settings settings, std::uint64_t seed);
+
+    /// True where a call may be made now. In the half-open state only one
+    /// caller gets true until it reports.
+    [[nodiscard]] bool allow(instant now);
+    void succeeded();
+    void failed(instant now);
+    [[nodiscard]] bool is_open() const noexcept { return open_; }
+    /// When the next call may be made; `instant::min()` where closed.
+    [[nodiscard]] instant next_try() const noexcept;
+
+private:
+    circuit_breaker_settings settings_;
+    backoff delay_;
+    std::uint32_t failures_ = 0;
+    bool open_ = false;
+    bool trying_ = false;
+    instant next_try_{};
+};
+
+} // namespace acaciastile
