Worker calls and reports carry the incarnation of the worker

A worker that restarts forgets its sealed epoch and its clock begins anew. An owner that was replaced while paused could then seal it with its old epoch, and a delayed start would pass the lease check on the new clock.

worker_report.incarnation is new with each restart; worker_call.incarnation must name it. Zero, unknown, is accepted only in a message that seals and neither renews nor starts. The doc comment says what an owner reads from the log after it sealed a new incarnation. A worker also remembers forgotten attempts until the latest lease end it has seen, so that a delayed copy of a start does not run a second time.

--- a/src/platform/worker_gateway.hpp
+++ b/src/platform/worker_gateway.hpp
@@ -54,17 +54,34 @@
 /// `seal` is set. A message whose epoch is higher than the sealed one and
 /// which does not seal is refused in the same way.
 ///
+/// `incarnation` is that of the worker's last report. A worker that was
+/// restarted has another one: its clock and its sealed epoch began anew, and
+/// all that ran before has ended. It refuses a message made for another
+/// incarnation whole with `stale_epoch`, `not_run`. Zero, unknown, is taken
+/// only in a message that seals and neither renews nor starts.
+/// A restarted worker has forgotten its sealed epoch, so an owner that was
+/// replaced while paused could seal it. Hence an owner that seals a new
+/// incarnation starts nothing on it before it has read the log to its head
+/// after the answer of the seal and still found its own claim in force: any
+/// later claim then seals after it, or meets yet another incarnation.
+///
 /// `lease_until` is on the worker's own clock: it is the new end of the lease
 /// of every attempt listed in `renew` and of those started. A message that
 /// arrives after that instant is refused whole with `stale_lease`, `not_run`.
+/// A delayed copy of a start can therefore arrive until the latest
+/// `lease_until` that was sent. The worker remembers forgotten attempts until
+/// the latest `lease_until` that it has seen, that of the forgetting message
+/// included, and ignores their starts: a message that forgets should carry a
+/// `lease_until` no earlier than those before it.
 struct worker_call
 {
     worker_id worker;
     std::string address;
     shard_id shard;
     shard_epoch epoch = 0;
+    std::uint64_t incarnation = 0; ///< Of the last report; zero: unknown.
     bool seal = false;
-    worker_instant lease_until{};   ///< Ignored where nothing renews or starts.
+    worker_instant lease_until{};   ///< Checked where it renews or starts.
     std::vector<attempt_id> forget; ///< Ended attempts whose end is kept.
     std::vector<stop_command> stop;
     std::vector<attempt_id> renew;
@@ -103,6 +120,7 @@
 {
     worker_id worker;
     worker_instant clock{};
+    std::uint64_t incarnation = 0; ///< Never zero; new with each restart.
     shard_epoch sealed = 0;
     bool leaving = false;
     resources capacity;
