--- /dev/null
+++ b/src/cell/backoff.cpp
@@ -0,0 +1,42 @@
+#include "cell/backoff.hpp"
+
+#include <algorithm>
+
+namespace acaciastile
+{
+
+namespace
+{
+
+/// Doubles `base` once a failure, without overflow, up to the cap.
+milliseconds
+widest_delay(const backoff_settings& settings, std::uint32_t failures)
+{
+    milliseconds widest = std::min(settings.base, settings.cap);
+    for (std::uint32_t n = 0; n < failures && widest < settings.cap; ++n)
+    {
+        widest = widest > settings.cap / 2 ? settings.cap : widest * 2;
+    }
+    return widest;
+}
+
+} // namespace
+
+backoff backoff::create(backoff_settings settings, std::uint64_t seed)
+{
+    backoff made;
+    made.settings_.base = std::max(settings.base, milliseconds{1});
+    made.settings_.cap = std::max(settings.cap, made.settings_.base);
+    made.random_.seed(seed);
+    return made;
+}
+
+milliseconds backoff::next_delay()
+{
+    const milliseconds widest = widest_delay(settings_, failures_);
+    ++failures_;
+    std::uniform_int_distribution<milliseconds::rep> delay(0, widest.count());
+    return milliseconds{delay(random_)};
+}
+
+} // namespace acaciastile
--- a/src/cell/retry_budget.hpp
+++ b/src/cell/retry_budget.hpp
@@ -27,6 +27,8 @@
     [[nodiscard]] double left() const noexcept { return left_; }
 
 private:
+    void refill(instant now) noexcept;
+
     retry_budget_settings settings_;
     double left_ = 0;
     instant refilled_at_{};
