Codecs: compact records, readable documents, strict readers

Records of the log are MessagePack arrays without field names, because log bytes a second are scarce; documents are JSON with comments whose faults name the path of the field and, for syntax, the line and column.

--- /dev/null
+++ b/src/codec/compact_codec.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "domain/inventory.hpp"
+#include "domain/job_spec.hpp"
+#include "domain/key_entry.hpp"
+#include "domain/result.hpp"
+#include "domain/rules.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace acaciastile
+{
+
+/// The compact forms that records and snapshots hold: arrays without field
+/// names, enumerations as their numbers. An inventory is grouped by data
+/// centre and rack, so that neither name is repeated for each worker.
+[[nodiscard]] nlohmann::json to_compact(const resources& value);
+[[nodiscard]] nlohmann::json to_compact(const inventory& value);
+[[nodiscard]] nlohmann::json to_compact(const rules& value);
+[[nodiscard]] nlohmann::json to_compact(const key_entry& value);
+[[nodiscard]] nlohmann::json to_compact(const job_spec& value);
+
+/// Reads a compact form. Errors: `malformed` where the form is wrong, or the
+/// errors of the aggregate's own rules.
+[[nodiscard]] result<resources>
+resources_from_compact(const nlohmann::json& value);
+[[nodiscard]] result<inventory>
+inventory_from_compact(const nlohmann::json& value);
+[[nodiscard]] result<rules> rules_from_compact(const nlohmann::json& value);
+[[nodiscard]] result<key_entry>
+key_entry_from_compact(const nlohmann::json& value);
+[[nodiscard]] result<job_spec>
+job_spec_from_compact(const nlohmann::json& value);
+
+} // namespace acaciastile
--- /dev/null
+++ b/src/codec/document_codec.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "domain/inventory.hpp"
+#include "domain/job_spec.hpp"
+#include "domain/key_entry.hpp"
+#include "domain/result.hpp"
+#include "domain/rules.hpp"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace acaciastile
+{
+
+/// Most of one kind of resource in one field: thousandths of a processor,
+/// mebibytes or devices. Sums over a million such fields do not overflow.
+inline constexpr std::int64_t most_of_one_resource = 1'000'000'000'000;
+/// Most tasks of one job.
+inline constexpr std::uint32_t most_tasks_of_job = 1'000'000;
+/// Longest id or name in bytes.
+inline constexpr std::size_t longest_name = 256;
+
+/// The readable forms, as the HTTP interface, files and calls between
+/// instances use them. Field names are those of the types; durations carry
+/// the ending `_ms`; enumerations stand as their names.
+[[nodiscard]] nlohmann::json to_json(const resources& value);
+[[nodiscard]] nlohmann::json to_json(const worker_entry& value);
+[[nodiscard]] nlohmann::json to_json(const inventory& value);
+[[nodiscard]] nlohmann::json to_json(const team_rule& value);
+[[nodiscard]] nlohmann::json to_json(const queue_rule& value);
+[[nodiscard]] nlohmann::json to_json(const rules& value);
+[[nodiscard]] nlohmann::json to_json(const key_entry& value);
+[[nodiscard]] nlohmann::json to_json(const job_spec& value);
+[[nodiscard]] nlohmann::json to_json(const error& value);
+
+/// Reads a readable form. `path` is where the value stands in its document;
+/// errors are `invalid_value` (or `unknown_team`, for rules), name the path
+/// of the field and refuse unknown fields.
+[[nodiscard]] result<resources>
+resources_from_json(const nlohmann::json& value, const std::string& path = "");
+[[nodiscard]] result<worker_entry> worker_entry_from_json(
+    const nlohmann::json& value, const std::string& path = "");
+[[nodiscard]] result<inventory>
+inventory_from_json(const nlohmann::json& value, const std::string& path = "");
+[[nodiscard]] result<team_rule>
+team_rule_from_json(const nlohmann::json& value, const std::string& path = "");
+[[nodiscard]] result<queue_rule>
+queue_rule_from_json(const nlohmann::json& value, const std::string& path = "");
+[[nodiscard]] result<rules>
+rules_from_json(const nlohmann::json& value, const std::string& path = "");
+[[nodiscard]] result<key_entry>
+key_entry_from_json(const nlohmann::json& value, const std::string& path = "");
+[[nodiscard]] result<job_spec>
+job_spec_from_json(const nlohmann::json& value, const std::string& path = "");
+[[nodiscard]] result<error>
+error_from_json(const nlohmann::json& value, const std::string& path = "");
+
+/// Parses a text, JSON with comments. Errors: `malformed` with line and column
+/// in `position`, else as above.
+[[nodiscard]] result<inventory> parse_inventory(std::string_view text);
+[[nodiscard]] result<rules> parse_rules(std::string_view text);
+[[nodiscard]] result<job_spec> parse_job_spec(std::string_view text);
+[[nodiscard]] result<key_entry> parse_key_entry(std::string_view text);
+[[nodiscard]] result<error> parse_error(std::string_view text);
+
+/// Writes the readable form as one line.
+[[nodiscard]] std::string to_json_text(const inventory& value);
+[[nodiscard]] std::string to_json_text(const rules& value);
+[[nodiscard]] std::string to_json_text(const job_spec& value);
+[[nodiscard]] std::string to_json_text(const key_entry& value);
+[[nodiscard]] std::string to_json_text(const error& value);
+
+} // namespace acaciastile
--- /dev/null
+++ b/src/codec/record_codec.cpp
@@ -0,0 +1,373 @@
+#include "codec/record_codec.hpp"
+
+#include "codec/array_reader.hpp"
+#include "codec/compact_codec.hpp"
+#include "codec/json_text.hpp"
+
+#include <optional>
+#include <type_traits>
+#include <utility>
+
+namespace acaciastile
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// Numbers of the kinds in the cell's stream.
+enum class cell_kind : std::uint8_t
+{
+    inventory_published = 1,
+    rules_published = 2,
+    key_granted = 3,
+    key_withdrawn = 4,
+    workers_drained = 5,
+    workers_declared_dead = 6,
+    shard_claimed = 7,
+    shard_released = 8,
+    allowance_set = 9,
+    allowance_wanted = 10
+};
+
+/// Numbers of the kinds in a shard's stream.
+enum class shard_kind : std::uint8_t
+{
+    epoch_opened = 1,
+    job_accepted = 2,
+    job_cancelled = 3,
+    attempt_assigned = 4,
+    attempt_ended = 5
+};
+
+template<class Kind>
+void open(json& array, Kind kind)
+{
+    array.push_back(static_cast<unsigned>(kind));
+}
+
+json names_of(const std::vector<worker_id>& workers)
+{
+    json names = json::array();
+    for (const worker_id& worker : workers)
+    {
+        names.push_back(worker.str());
+    }
+    return names;
+}
+
+result<worker_id> worker_name(const json& value)
+{
+    worker_id name;
+    if (impl::get(value, name) != nullptr)
+    {
+        return refuse(refusal_code::malformed, "worker: expected a string");
+    }
+    return name;
+}
+
+/// Appends the kind and the fields of one change of the cell.
+struct cell_fields
+{
+    json& array;
+
+    void operator()(const inventory_published& change) const
+    {
+        open(array, cell_kind::inventory_published);
+        array.push_back(change.base);
+        array.push_back(to_compact(change.content));
+    }
+
+    void operator()(const rules_published& change) const
+    {
+        open(array, cell_kind::rules_published);
+        array.push_back(change.base);
+        array.push_back(to_compact(change.content));
+    }
+
+    void operator()(const key_granted& change) const
+    {
+        open(array, cell_kind::key_granted);
+        array.push_back(to_compact(change.key));
+    }
+
+    void operator()(const key_withdrawn& change) const
+    {
+        open(array, cell_kind::key_withdrawn);
+        array.push_back(change.id.str());
+    }
+
+    void operator()(const workers_drained& change) const
+    {
+        open(array, cell_kind::workers_drained);
+        array.push_back(names_of(change.workers));
+        array.push_back(change.draining);
+    }
+
+    void operator()(const workers_declared_dead& change) const
+    {
+        open(array, cell_kind::workers_declared_dead);
+        array.push_back(names_of(change.workers));
+    }
+
+    void operator()(const shard_claimed& change) const
+    {
+        open(array, cell_kind::shard_claimed);
+        array.push_back(change.shard.str());
+        array.push_back(change.owner.str());
+        array.push_back(change.owner_address);
+        array.push_back(change.base);
+    }
+
+    void operator()(const shard_released& change) const
+    {
+        open(array, cell_kind::shard_released);
+        array.push_back(change.shard.str());
+        array.push_back(change.epoch);
+        array.push_back(change.successor.str());
+    }
+
+    void operator()(const allowance_set& change) const
+    {
+        open(array, cell_kind::allowance_set);
+        amount_fields(change);
+    }
+
+    void operator()(const allowance_wanted& change) const
+    {
+        open(array, cell_kind::allowance_wanted);
+        amount_fields(change);
+    }
+
+    template<class Change>
+    void amount_fields(const Change& change) const
+    {
+        array.push_back(change.shard.str());
+        array.push_back(change.epoch);
+        array.push_back(change.team.str());
+        array.push_back(to_compact(change.amount));
+    }
+};
+
+/// Appends the kind and the fields of one change of a shard.
+struct shard_fields
+{
+    json& array;
+
+    void operator()(const epoch_opened& /*change*/) const
+    {
+        open(array, shard_kind::epoch_opened);
+    }
+
+    void operator()(const job_accepted& change) const
+    {
+        open(array, shard_kind::job_accepted);
+        array.push_back(to_compact(change.spec));
+    }
+
+    void operator()(const job_cancelled& change) const
+    {
+        open(array, shard_kind::job_cancelled);
+        array.push_back(change.job.str());
+    }
+
+    void operator()(const attempt_assigned& change) const
+    {
+        open(array, shard_kind::attempt_assigned);
+        attempt_fields(change.attempt);
+        array.push_back(change.worker.str());
+    }
+
+    void operator()(const attempt_ended& change) const
+    {
+        open(array, shard_kind::attempt_ended);
+        attempt_fields(change.attempt);
+        array.push_back(static_cast<int>(change.state));
+        array.push_back(change.answer);
+        array.push_back(change.reason);
+    }
+
+    void attempt_fields(const attempt_id& attempt) const
+    {
+        array.push_back(attempt.task.job.str());
+        array.push_back(attempt.task.index);
+        array.push_back(attempt.number);
+    }
+};
+
+array_reader& read_attempt(array_reader& items, attempt_id& attempt)
+{
+    return items.next(attempt.task.job)
+        .next(attempt.task.index)
+        .next(attempt.number);
+}
+
+template<class Change>
+void read_amount(array_reader& items, Change& change)
+{
+    items.next(change.shard)
+        .next(change.epoch)
+        .next(change.team)
+        .next(change.amount, resources_from_compact);
+}
+
+void read(array_reader& items, inventory_published& change)
+{
+    items.next(change.base).next(change.content, inventory_from_compact);
+}
+
+void read(array_reader& items, rules_published& change)
+{
+    items.next(change.base).next(change.content, rules_from_compact);
+}
+
+void read(array_reader& items, key_granted& change)
+{
+    items.next(change.key, key_entry_from_compact);
+}
+
+void read(array_reader& items, key_withdrawn& change)
+{
+    items.next(change.id);
+}
+
+void read(array_reader& items, workers_drained& change)
+{
+    items.next_list(change.workers, worker_name).next(change.draining);
+}
+
+void read(array_reader& items, workers_declared_dead& change)
+{
+    items.next_list(change.workers, worker_name);
+}
+
+void read(array_reader& items, shard_claimed& change)
+{
+    items.next(change.shard)
+        .next(change.owner)
+        .next(change.owner_address)
+        .next(change.base);
+}
+
+void read(array_reader& items, shard_released& change)
+{
+    items.next(change.shard).next(change.epoch).next(change.successor);
+}
+
+void read(array_reader& items, allowance_set& change)
+{
+    read_amount(items, change);
+}
+
+void read(array_reader& items, allowance_wanted& change)
+{
+    read_amount(items, change);
+}
+
+void read(array_reader& /*items*/, epoch_opened& /*change*/) {}
+
+void read(array_reader& items, job_accepted& change)
+{
+    items.next(change.spec, job_spec_from_compact);
+}
+
+void read(array_reader& items, job_cancelled& change)
+{
+    items.next(change.job);
+}
+
+void read(array_reader& items, attempt_assigned& change)
+{
+    read_attempt(items, change.attempt).next(change.worker);
+}
+
+void read(array_reader& items, attempt_ended& change)
+{
+    read_attempt(items, change.attempt)
+        .next_enum(change.state, task_state_names.size())
+        .next(change.answer)
+        .next(change.reason);
+}
+
+/// Reads the fields of the alternative whose kind has that number; kinds
+/// count from one in the order of the variant.
+template<class Variant, std::size_t Index = 0>
+bool read_alternative(array_reader& items, std::size_t kind, Variant& into)
+{
+    if constexpr (Index < std::variant_size_v<Variant>)
+    {
+        if (kind != Index + 1)
+        {
+            return read_alternative<Variant, Index + 1>(items, kind, into);
+        }
+        std::variant_alternative_t<Index, Variant> change;
+        read(items, change);
+        into = std::move(change);
+        return true;
+    }
+    return false;
+}
+
+template<class Record, class Open>
+result<Record> decode(std::string_view encoded, const char* name, Open header)
+{
+    result<json> parsed = parse_msgpack(encoded);
+    if (!parsed)
+    {
+        return tl::unexpected(std::move(parsed.error()));
+    }
+    Record record;
+    std::size_t kind = 0;
+    array_reader items(*parsed, name);
+    header(items, record);
+    items.next(kind);
+    bool known = read_alternative(items, kind, record.change);
+    if (auto checked = items.finish(); !checked)
+    {
+        return tl::unexpected(checked.error());
+    }
+    if (!known)
+    {
+        return refuse(
+            refusal_code::malformed,
+            std::string(name) + ": unknown kind " + std::to_string(kind));
+    }
+    return record;
+}
+
+} // namespace
+
+std::string encode(const cell_record& record)
+{
+    json array = json::array({record.id});
+    std::visit(cell_fields{array}, record.change);
+    return to_msgpack_text(array);
+}
+
+std::string encode(const shard_record& record)
+{
+    json array = json::array({record.id, record.epoch});
+    std::visit(shard_fields{array}, record.change);
+    return to_msgpack_text(array);
+}
+
+result<cell_record> decode_cell_record(std::string_view encoded)
+{
+    return decode<cell_record>(
+        encoded,
+        "cell record",
+        [](array_reader& items, cell_record& record)
+        { items.next(record.id); });
+}
+
+result<shard_record> decode_shard_record(std::string_view encoded)
+{
+    return decode<shard_record>(
+        encoded,
+        "shard record",
+        [](array_reader& items, shard_record& record)
+        { items.next(record.id).next(record.epoch); });
+}
+
+} // namespace acaciastile
