--- /dev/null
+++ b/src/cell/claim_planner.cpp
@@ -0,0 +1,90 @@
+#include "cell/claim_planner.hpp"
+
+namespace acaciastile
+{
+
+claim_planner claim_planner::create(
+    instance_id self, claim_settings settings, instant started)
+{
+    return claim_planner(std::move(self), settings, started);
+}
+
+claim_planner::claim_planner(
+    instance_id self, claim_settings settings, instant started)
+    : self_(std::move(self)), settings_(settings), started_(started)
+{
+}
+
+claim_plan claim_planner::plan(
+    instant now,
+    const cell_state& cell,
+    const shard_map& shards,
+    const membership& members)
+{
+    const std::vector<member> alive = members.alive();
+    note_members(now, alive);
+    const std::map<shard_id, member> preferred =
+        preferred_owners(shards, alive);
+    const bool stable =
+        now - stable_since_ >= settings_.stable_before_release;
+    claim_plan plan;
+    for (const shard_info& shard : shards.shards())
+    {
+        auto wanted = preferred.find(shard.id);
+        if (wanted == preferred.end())
+        {
+            continue;
+        }
+        const bool mine = wanted->second.id == self_;
+        const shard_claim* claim = cell.claim(shard.id);
+        const bool vacant = claim == nullptr || claim->released ||
+                            owner_is_gone(now, *claim, members);
+        if (vacant && mine)
+        {
+            plan.claim.push_back(shard.id);
+            continue;
+        }
+        const bool may_release =
+            stable && plan.release.empty() &&
+            now - released_at_ >= settings_.release_interval;
+        if (!vacant && !mine && claim->owner == self_ && may_release &&
+            !members.is_suspected(wanted->second.id))
+        {
+            plan.release.emplace(shard.id, wanted->second.id);
+            released_at_ = now;
+        }
+    }
+    return plan;
+}
+
+bool claim_planner::owner_is_gone(
+    instant now, const shard_claim& claim, const membership& members) const
+{
+    if (claim.owner == self_ || members.is_alive(claim.owner))
+    {
+        return false;
+    }
+    if (members.dead_since(claim.owner) <= now)
+    {
+        return true;
+    }
+    return now - started_ >= settings_.unknown_owner_grace;
+}
+
+void claim_planner::note_members(
+    instant now, const std::vector<member>& alive)
+{
+    std::vector<instance_id> ids;
+    ids.reserve(alive.size());
+    for (const member& one : alive)
+    {
+        ids.push_back(one.id);
+    }
+    if (ids != last_alive_)
+    {
+        last_alive_ = std::move(ids);
+        stable_since_ = now;
+    }
+}
+
+} // namespace acaciastile
--- /dev/null
+++ b/src/cell/instance.cpp
@@ -0,0 +1,299 @@
+// Life of an instance.
+
+#include "cell/instance.hpp"
+
+#include "cell/stream_names.hpp"
+#include "codec/record_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciastile
+{
+
+namespace
+{
+
+constexpr std::size_t name_bytes = 6;
+
+std::string to_hex(const std::string& bytes)
+{
+    static constexpr char digits[] = "0123456789abcdef";
+    std::string text;
+    for (const char byte : bytes)
+    {
+        const auto value = static_cast<unsigned char>(byte);
+        text.push_back(digits[value >> 4]);
+        text.push_back(digits[value & 0xf]);
+    }
+    return text;
+}
+
+bool is_complete(const instance_ports& ports)
+{
+    return ports.log != nullptr && ports.vms != nullptr &&
+           ports.workers != nullptr && ports.peers != nullptr &&
+           ports.events != nullptr && ports.metrics != nullptr &&
+           ports.clock != nullptr && ports.make_scheduler &&
+           ports.random_bytes;
+}
+
+} // namespace
+
+result<std::unique_ptr<instance>> instance::create(
+    instance_settings settings, instance_ports ports, std::uint64_t seed)
+{
+    if (!is_complete(ports))
+    {
+        return refuse(refusal_code::invalid_value, "a port is missing");
+    }
+    if (settings.self.id.empty() || settings.self.address.empty())
+    {
+        return refuse(
+            refusal_code::invalid_value,
+            "the instance needs an id and an address");
+    }
+    return std::unique_ptr<instance>(
+        new instance(std::move(settings), std::move(ports), seed));
+}
+
+instance::instance(
+    instance_settings settings, instance_ports ports, std::uint64_t seed)
+    : settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      random_(seed),
+      planner_(claim_planner::create(
+          settings_.self.id, settings_.claims, ports_.clock->now())),
+      record_prefix_(
+          settings_.self.id.str() + "." +
+          to_hex(ports_.random_bytes(name_bytes)) + ".")
+{
+    follower_ = cell_follower::create(
+        *ports_.log,
+        settings_.shard.reader,
+        [this](const cell_record& record, const fold_outcome& outcome)
+        { on_cell_record(record, outcome); });
+    writer_ = record_writer::create(
+        *ports_.log, cell_stream(), settings_.writer, random_());
+    members_ = membership::create(
+        settings_.self,
+        settings_.members,
+        random_(),
+        *ports_.peers,
+        *ports_.events);
+    router_ = shard_router::create(
+        settings_.self.id,
+        settings_.router,
+        random_(),
+        follower_->state(),
+        *ports_.peers,
+        *ports_.clock,
+        [this](
+            const std::string& method,
+            const std::string& body,
+            completion<std::string> done)
+        { handle_local(method, body, std::move(done)); });
+    ports_.workers->on_notice(
+        [this, alive = std::weak_ptr<bool>(alive_)](
+            const worker_notice& notice)
+        {
+            if (alive.expired())
+            {
+                return;
+            }
+            for (auto& [id, owner] : owners_)
+            {
+                owner->on_notice(notice.worker);
+            }
+        });
+    ports_.events->emit(
+        {event_number::instance_started,
+         {{"instance", settings_.self.id.str()},
+          {"address", settings_.self.address}}});
+}
+
+instance::~instance()
+{
+    alive_.reset();
+}
+
+void instance::tick(instant /*now*/)
+{
+    follower_->tick(now());
+    if (writer_->wants_read())
+    {
+        follower_->poll_soon();
+    }
+    poll_vms();
+    members_->set_offset(follower_->state().applied_through());
+    members_->tick(now());
+    manage_shards();
+    for (auto& [id, owner] : owners_)
+    {
+        owner->tick();
+    }
+    advance_releases();
+    router_->tick();
+    writer_->tick(now());
+    if (shutting_down_)
+    {
+        release_all();
+    }
+}
+
+const cell_state& instance::cell() const
+{
+    return follower_->state();
+}
+
+instant instance::last_log_contact() const
+{
+    return follower_->last_contact();
+}
+
+bool instance::is_vm_leaving(const worker_id& worker) const
+{
+    return vms_leaving_.contains(worker);
+}
+
+std::string instance::next_record_id()
+{
+    return record_prefix_ + std::to_string(++records_named_);
+}
+
+void instance::write_cell(cell_change change, completion<fold_outcome> done)
+{
+    cell_record record{next_record_id(), std::move(change)};
+    std::string body = encode(record);
+    std::weak_ptr<bool> alive = alive_;
+    writer_->write(
+        now(),
+        record.id,
+        std::move(body),
+        settings_.publish_patience,
+        [alive, done = std::move(done)](result<fold_outcome> outcome)
+        {
+            if (!alive.expired() && done)
+            {
+                done(std::move(outcome));
+            }
+        });
+}
+
+void instance::on_cell_record(
+    const cell_record& record, const fold_outcome& outcome)
+{
+    writer_->settle(record.id, outcome);
+    if (!outcome.accepted())
+    {
+        return;
+    }
+    if (std::holds_alternative<inventory_published>(record.change))
+    {
+        on_inventory();
+        ports_.events->emit(
+            {event_number::configuration_in_force,
+             {{"inventory", std::to_string(outcome.in_force)},
+              {"instance", settings_.self.id.str()}}});
+    }
+    else if (std::holds_alternative<rules_published>(record.change))
+    {
+        for (auto& [id, owner] : owners_)
+        {
+            owner->set_rules(cell().rules_in_force());
+        }
+        ports_.events->emit(
+            {event_number::configuration_in_force,
+             {{"rules", std::to_string(outcome.in_force)},
+              {"instance", settings_.self.id.str()}}});
+    }
+    else if (
+        std::holds_alternative<shard_claimed>(record.change) ||
+        std::holds_alternative<shard_released>(record.change))
+    {
+        next_manage_ = now();
+    }
+    else if (auto* dead = std::get_if<workers_declared_dead>(&record.change))
+    {
+        for (auto& [id, owner] : owners_)
+        {
+            for (const worker_id& worker : dead->workers)
+            {
+                owner->declare_dead(worker);
+            }
+        }
+    }
+}
+
+void instance::poll_vms()
+{
+    if (vm_poll_in_flight_ || now() < next_vm_poll_)
+    {
+        return;
+    }
+    vm_poll_in_flight_ = true;
+    next_vm_poll_ = now() + settings_.vm_poll;
+    std::weak_ptr<bool> alive = alive_;
+    ports_.vms->fetch(
+        [this, alive](result<std::vector<vm_entry>> listed)
+        {
+            if (alive.expired())
+            {
+                return;
+            }
+            vm_poll_in_flight_ = false;
+            if (!listed)
+            {
+                return;
+            }
+            vms_leaving_.clear();
+            entry_vms_.clear();
+            for (const vm_entry& vm : *listed)
+            {
+                if (vm.role == vm_role::entry)
+                {
+                    entry_vms_.push_back(vm);
+                }
+                else if (vm.leaving)
+                {
+                    vms_leaving_.insert(worker_id(vm.name));
+                }
+            }
+            members_->set_seeds(now(), entry_vms_);
+        });
+}
+
+bool instance::ready() const
+{
+    return !shutting_down_ && follower_->last_contact() != instant::min() &&
+           follower_->state().inventory_revision() != 0;
+}
+
+void instance::begin_shutdown(instant /*now*/)
+{
+    if (shutting_down_)
+    {
+        return;
+    }
+    shutting_down_ = true;
+    shutdown_started_ = now();
+    ports_.events->emit(
+        {event_number::instance_stopping,
+         {{"instance", settings_.self.id.str()}}});
+}
+
+bool instance::finished() const
+{
+    if (!shutting_down_)
+    {
+        return false;
+    }
+    if (now() - shutdown_started_ >= settings_.shutdown_patience)
+    {
+        return true;
+    }
+    return owners_.empty() && callers_in_hand_ == 0 &&
+           router_->in_hand() == 0 && writer_->pending() == 0;
+}
+
+} // namespace acaciastile
--- /dev/null
+++ b/src/cell/instance_calls.cpp
@@ -0,0 +1,405 @@
+// What callers and operators ask of an instance.
+
+#include "cell/instance.hpp"
+
+#include "cell/peer_codec.hpp"
+#include "cell/shard_capacity.hpp"
+#include "codec/document_codec.hpp"
+#include "codec/json_text.hpp"
+#include "domain/key_check.hpp"
+#include "domain/hex.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciastile
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr milliseconds status_patience{5'000};
+constexpr milliseconds status_try{2'000};
+constexpr std::size_t secret_bytes = 24;
+constexpr std::size_t salt_bytes = 16;
+constexpr std::size_t key_name_bytes = 6;
+
+/// Decodes a JSON answer into a typed one.
+template<class Value, class Decode>
+completion<json> decoded(completion<Value> done, Decode decode)
+{
+    return [done = std::move(done), decode](result<json> answer)
+    {
+        if (!answer)
+        {
+            done(tl::unexpected(std::move(answer.error())));
+            return;
+        }
+        done(decode(*answer, ""));
+    };
+}
+
+} // namespace
+
+void instance::submit(
+    instant /*now*/,
+    presented_key key,
+    job_spec spec,
+    completion<job_status> done)
+{
+    if (auto admitted = admit(key, spec); !admitted)
+    {
+        done(tl::unexpected(admitted.error()));
+        return;
+    }
+    const shard_info* home = shards_.home_of(spec.id.str());
+    if (home == nullptr)
+    {
+        done(refuse(
+            refusal_code::can_never_run, "the inventory has no workers"));
+        return;
+    }
+    follow_move(
+        home->id,
+        "cell.submit",
+        {{"spec", to_json(spec)}},
+        now() + settings_.submit_patience,
+        settings_.submit_patience,
+        decoded<job_status>(std::move(done), job_status_from_json),
+        0);
+}
+
+void instance::request(
+    instant /*now*/,
+    presented_key key,
+    job_spec spec,
+    completion<request_answer> done)
+{
+    spec.kind = job_kind::request;
+    spec.tasks = 1;
+    if (auto admitted = admit(key, spec); !admitted)
+    {
+        done(tl::unexpected(admitted.error()));
+        return;
+    }
+    const shard_info* home = shards_.home_of(spec.id.str());
+    if (home == nullptr)
+    {
+        done(refuse(
+            refusal_code::can_never_run, "the inventory has no workers"));
+        return;
+    }
+    shard_id first = home->id;
+    if (spec.repeatable && !could_hold(*home, spec))
+    {
+        // It is in no log: copies of it meet at the first shard that could.
+        auto other = best_shard_for(shards_, spec, first);
+        if (!other)
+        {
+            done(refuse(
+                refusal_code::can_never_run,
+                "no worker of the inventory could hold it"));
+            return;
+        }
+        first = *other;
+    }
+    milliseconds deadline = spec.deadline;
+    if (deadline == milliseconds{0})
+    {
+        deadline = settings_.shard.default_deadline;
+    }
+    deadline = std::min(deadline, settings_.longest_deadline);
+    follow_move(
+        first,
+        "cell.request",
+        {{"spec", to_json(spec)}},
+        now() + deadline,
+        milliseconds{0},
+        decoded<request_answer>(std::move(done), request_answer_from_json),
+        0);
+}
+
+void instance::status(
+    instant /*now*/,
+    presented_key key,
+    job_id job,
+    bool why,
+    completion<job_status> done)
+{
+    auto team = visible_team(key);
+    if (!team)
+    {
+        done(tl::unexpected(team.error()));
+        return;
+    }
+    const shard_info* home = shards_.home_of(job.str());
+    if (home == nullptr)
+    {
+        done(refuse(refusal_code::unknown_job, "no job has that id"));
+        return;
+    }
+    auto checked = [team = *team, done = std::move(done)](
+                       result<job_status> found)
+    {
+        if (found && !team.empty() && found->team != team)
+        {
+            found = refuse(refusal_code::unknown_job, "no job has that id");
+        }
+        done(std::move(found));
+    };
+    follow_move(
+        home->id,
+        "cell.status",
+        {{"job", job.str()}, {"why", why}},
+        now() + status_patience,
+        status_try,
+        decoded<job_status>(std::move(checked), job_status_from_json),
+        0);
+}
+
+void instance::cancel(
+    instant /*now*/,
+    presented_key key,
+    job_id job,
+    completion<job_status> done)
+{
+    auto team = visible_team(key);
+    if (!team)
+    {
+        done(tl::unexpected(team.error()));
+        return;
+    }
+    const shard_info* home = shards_.home_of(job.str());
+    if (home == nullptr)
+    {
+        done(refuse(refusal_code::unknown_job, "no job has that id"));
+        return;
+    }
+    follow_move(
+        home->id,
+        "cell.cancel",
+        {{"job", job.str()}, {"team", team->str()}},
+        now() + settings_.submit_patience,
+        settings_.submit_patience,
+        decoded<job_status>(std::move(done), job_status_from_json),
+        0);
+}
+
+void instance::call_shard(
+    const shard_id& shard,
+    std::string method,
+    json body,
+    instant give_up,
+    milliseconds try_timeout,
+    completion<json> done)
+{
+    body["shard"] = shard.str();
+    ++callers_in_hand_;
+    std::weak_ptr<bool> alive = alive_;
+    router_->call(
+        {shard,
+         std::move(method),
+         [body = std::move(body)](milliseconds left) mutable
+         {
+             body["left_ms"] = left.count();
+             return to_msgpack_text(body);
+         },
+         give_up,
+         try_timeout,
+         [this, alive, done = std::move(done)](result<std::string> answer)
+         {
+             if (!alive.expired())
+             {
+                 --callers_in_hand_;
+             }
+             if (!answer)
+             {
+                 done(tl::unexpected(std::move(answer.error())));
+                 return;
+             }
+             done(parse_msgpack(*answer));
+         }});
+}
+
+void instance::follow_move(
+    const shard_id& shard,
+    std::string method,
+    json body,
+    instant give_up,
+    milliseconds try_timeout,
+    completion<json> done,
+    int hops)
+{
+    constexpr int most_hops = 3;
+    std::weak_ptr<bool> alive = alive_;
+    auto answered = [this,
+                     alive,
+                     method,
+                     body,
+                     give_up,
+                     try_timeout,
+                     done = std::move(done),
+                     hops](result<json> answer)
+    {
+        const bool moved = answer && answer->is_object() &&
+                           answer->contains("moved_to") && !alive.expired();
+        if (!moved || hops >= most_hops)
+        {
+            done(std::move(answer));
+            return;
+        }
+        follow_move(
+            shard_id((*answer)["moved_to"].get<std::string>()),
+            method,
+            body,
+            give_up,
+            try_timeout,
+            done,
+            hops + 1);
+    };
+    call_shard(
+        shard,
+        std::move(method),
+        std::move(body),
+        give_up,
+        try_timeout,
+        std::move(answered));
+}
+
+void instance::hand_over_job(
+    const shard_id& to, const job_spec& spec, completion<bool> done)
+{
+    call_shard(
+        to,
+        "cell.adopt",
+        {{"spec", to_json(spec)}},
+        now() + settings_.submit_patience,
+        settings_.submit_patience,
+        [done = std::move(done)](result<json> answer)
+        {
+            if (!answer)
+            {
+                done(tl::unexpected(std::move(answer.error())));
+                return;
+            }
+            done(true);
+        });
+}
+
+void instance::publish(
+    const presented_key& key, cell_change change, completion<published> done)
+{
+    if (auto checked = check_operator(key); !checked)
+    {
+        done(tl::unexpected(checked.error()));
+        return;
+    }
+    ++callers_in_hand_;
+    std::weak_ptr<bool> alive = alive_;
+    write_cell(
+        std::move(change),
+        [this, alive, done = std::move(done)](result<fold_outcome> outcome)
+        {
+            if (!alive.expired())
+            {
+                --callers_in_hand_;
+            }
+            if (!outcome)
+            {
+                done(tl::unexpected(std::move(outcome.error())));
+                return;
+            }
+            if (outcome->refusal)
+            {
+                done(tl::unexpected(*outcome->refusal));
+                return;
+            }
+            done(published{outcome->in_force});
+        });
+}
+
+void instance::publish_inventory(
+    instant /*now*/,
+    presented_key key,
+    revision base,
+    inventory content,
+    completion<published> done)
+{
+    publish(key, inventory_published{base, std::move(content)}, std::move(done));
+}
+
+void instance::publish_rules(
+    instant /*now*/,
+    presented_key key,
+    revision base,
+    rules content,
+    completion<published> done)
+{
+    publish(key, rules_published{base, std::move(content)}, std::move(done));
+}
+
+void instance::grant_key(
+    instant /*now*/,
+    presented_key key,
+    team_name team,
+    key_right right,
+    completion<granted_key> done)
+{
+    const key_id id(to_hex(ports_.random_bytes(key_name_bytes)));
+    auto made = make_key(
+        id,
+        team,
+        right,
+        ports_.random_bytes(salt_bytes),
+        ports_.random_bytes(secret_bytes));
+    if (!made)
+    {
+        done(tl::unexpected(made.error()));
+        return;
+    }
+    granted_key granted{made->entry, made->secret_text};
+    publish(
+        key,
+        key_granted{granted.entry},
+        [granted, done = std::move(done)](result<published> outcome)
+        {
+            if (!outcome)
+            {
+                done(tl::unexpected(std::move(outcome.error())));
+                return;
+            }
+            done(granted);
+        });
+}
+
+void instance::withdraw_key(
+    instant /*now*/,
+    presented_key key,
+    key_id id,
+    completion<published> done)
+{
+    publish(key, key_withdrawn{std::move(id)}, std::move(done));
+}
+
+void instance::drain(
+    instant /*now*/,
+    presented_key key,
+    std::vector<worker_id> workers,
+    bool draining,
+    completion<published> done)
+{
+    publish(key, workers_drained{std::move(workers), draining}, std::move(done));
+}
+
+void instance::declare_dead(
+    instant /*now*/,
+    presented_key key,
+    std::vector<worker_id> workers,
+    completion<published> done)
+{
+    publish(key, workers_declared_dead{std::move(workers)}, std::move(done));
+}
+
+} // namespace acaciastile
--- /dev/null
+++ b/src/cell/shard_fold.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "cell/fold_outcome.hpp"
+#include "domain/instant.hpp"
+#include "domain/shard_record.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace acaciastile
+{
+
+/// One job as folded from its shard's stream.
+struct job_progress
+{
+    job_spec spec;
+    bool cancelled = false;
+    shard_id moved_to; ///< Empty where it runs in this shard.
+    std::vector<task_progress> tasks;
+    std::size_t open_tasks = 0; ///< Tasks whose state is not final.
+    std::string answer;
+    std::string reason;
+    log_offset accepted_at = 0;  ///< Order of acceptance.
+    log_offset changed_at = 0;   ///< Last record that changed it.
+
+    [[nodiscard]] bool is_final() const noexcept { return open_tasks == 0; }
+};
+
+/// The fold over one shard's stream: its jobs and how far they have come.
+/// Records of a lower epoch than the highest opened fold to nothing, so a
+/// former owner changes nothing any more.
+class shard_fold
+{
+public:
+    /// Ended jobs that are kept for status and for repeated submissions.
+    static constexpr std::size_t ended_jobs_kept = 20'000;
+
+    fold_outcome apply(log_offset offset, const shard_record& record);
+
+    [[nodiscard]] shard_epoch epoch() const noexcept { return epoch_; }
+    [[nodiscard]] log_offset applied_through() const noexcept
+    {
+        return applied_through_;
+    }
+
+    /// Null where the job is not known.
+    [[nodiscard]] const job_progress* find(const job_id& id) const noexcept;
+
+    /// Jobs by id.
+    [[nodiscard]] const std::map<job_id, job_progress>& jobs() const noexcept
+    {
+        return jobs_;
+    }
+
+    /// The record that restates a job.
+    [[nodiscard]] static job_restated restate(const job_progress& job);
+
+private:
+    using refusal = std::optional<error>;
+
+    refusal fold(const shard_record& record, bool& twice);
+    refusal fold_accepted(const job_accepted&, bool& twice);
+    refusal fold_cancelled(const job_cancelled&);
+    refusal fold_assigned(const attempt_assigned&);
+    refusal fold_ended(const attempt_ended&);
+    refusal fold_moved(const job_moved&);
+    refusal fold_restated(const job_restated&);
+    void set_state(job_progress& job, task_progress& task, task_state state);
+    void forget_oldest_ended();
+
+    shard_epoch epoch_ = 0;
+    log_offset applied_through_ = 0;
+    std::map<job_id, job_progress> jobs_;
+    std::deque<job_id> ended_;
+};
+
+} // namespace acaciastile
--- a/src/codec/record_codec.cpp
+++ b/src/codec/record_codec.cpp
@@ -38,7 +38,9 @@
     job_accepted = 2,
     job_cancelled = 3,
     attempt_assigned = 4,
-    attempt_ended = 5
+    attempt_ended = 5,
+    job_moved = 6,
+    job_restated = 7
 };
 
 template<class Kind>
@@ -188,6 +190,33 @@
         array.push_back(change.reason);
     }
 
+    void operator()(const job_moved& change) const
+    {
+        open(array, shard_kind::job_moved);
+        array.push_back(change.job.str());
+        array.push_back(change.to.str());
+    }
+
+    void operator()(const job_restated& change) const
+    {
+        open(array, shard_kind::job_restated);
+        array.push_back(change.base);
+        array.push_back(to_compact(change.spec));
+        array.push_back(change.cancelled);
+        array.push_back(change.moved_to.str());
+        json tasks = json::array();
+        for (const task_progress& task : change.tasks)
+        {
+            tasks.push_back(json::array(
+                {static_cast<int>(task.state),
+                 task.attempts,
+                 task.worker.str()}));
+        }
+        array.push_back(std::move(tasks));
+        array.push_back(change.answer);
+        array.push_back(change.reason);
+    }
+
     void attempt_fields(const attempt_id& attempt) const
     {
         array.push_back(attempt.task.job.str());
@@ -290,6 +319,36 @@
         .next(change.reason);
 }
 
+result<task_progress> progress_from_compact(const json& value)
+{
+    task_progress task;
+    array_reader items(value, "task");
+    items.next_enum(task.state, task_state_names.size())
+        .next(task.attempts)
+        .next(task.worker);
+    if (auto checked = items.finish(); !checked)
+    {
+        return tl::unexpected(checked.error());
+    }
+    return task;
+}
+
+void read(array_reader& items, job_moved& change)
+{
+    items.next(change.job).next(change.to);
+}
+
+void read(array_reader& items, job_restated& change)
+{
+    items.next(change.base)
+        .next(change.spec, job_spec_from_compact)
+        .next(change.cancelled)
+        .next(change.moved_to)
+        .next_list(change.tasks, progress_from_compact)
+        .next(change.answer)
+        .next(change.reason);
+}
+
 /// Reads the fields of the alternative whose kind has that number; kinds
 /// count from one in the order of the variant.
 template<class Variant, std::size_t Index = 0>
--- a/src/domain/shard_record.hpp
+++ b/src/domain/shard_record.hpp
@@ -52,12 +52,47 @@
     [[nodiscard]] bool operator==(const attempt_ended&) const = default;
 };
 
+/// The job's home gives it to another shard, which runs it. From then on the
+/// home only knows where it went.
+struct job_moved
+{
+    job_id job;
+    shard_id to;
+    [[nodiscard]] bool operator==(const job_moved&) const = default;
+};
+
+/// How far one task has come.
+struct task_progress
+{
+    task_state state = task_state::queued;
+    std::uint32_t attempts = 0; ///< Number of the last assigned attempt.
+    worker_id worker;           ///< Of an attempt not proven ended.
+    [[nodiscard]] bool operator==(const task_progress&) const = default;
+};
+
+/// A job's whole state written anew, so that it outlives the retention of
+/// the records it was folded from. Accepted where the job is unknown, or where
+/// `base` is the offset of the last record that changed it.
+struct job_restated
+{
+    log_offset base = 0;
+    job_spec spec;
+    bool cancelled = false;
+    shard_id moved_to; ///< Empty where it runs in this shard.
+    std::vector<task_progress> tasks;
+    std::string answer;
+    std::string reason;
+    [[nodiscard]] bool operator==(const job_restated&) const = default;
+};
+
 using shard_change = std::variant<
     epoch_opened,
     job_accepted,
     job_cancelled,
     attempt_assigned,
-    attempt_ended>;
+    attempt_ended,
+    job_moved,
+    job_restated>;
 
 /// One record of a shard's stream.
 struct shard_record
