--- a/src/platform/http/packed_message.hpp
+++ b/src/platform/http/packed_message.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "codec/json_text.hpp"
 #include "domain/result.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <exception>
-#include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -18,19 +18,22 @@
 
 [[nodiscard]] inline std::string pack(const packed& value)
 {
-    std::string bytes;
-    packed::to_msgpack(value, bytes);
-    return bytes;
+    return to_msgpack_text(value);
 }
 
-/// Reads one MessagePack value and hands it to `read`, which may throw what
-/// the JSON library and `std::out_of_range` throw. Errors: `malformed`.
+/// Reads one MessagePack value and hands it to `read`, which may throw an
+/// exception of the JSON library or `std::out_of_range`. Errors: `malformed`.
 template<class Value, class Reader>
 [[nodiscard]] result<Value> unpack(const std::string& bytes, Reader read)
 {
+    const result<packed> parsed = parse_msgpack(bytes);
+    if (!parsed)
+    {
+        return tl::unexpected(parsed.error());
+    }
     try
     {
-        return read(packed::from_msgpack(bytes));
+        return read(*parsed);
     }
     catch (const std::exception& problem)
     {
