--- /dev/null
+++ b/src/policy/team_ledger.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "domain/ids.hpp"
+#include "domain/resources.hpp"
+#include "domain/rules.hpp"
+#include "policy/slots.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace acaciastile::impl
+{
+
+/// What one team may have placed, has placed and waits for.
+struct team_account
+{
+    team_name name;
+    std::uint32_t share = 1;
+    resources allowance; ///< Zero until it is set.
+    resources used;
+    resources demand;
+};
+
+/// The accounts of all teams.
+class team_ledger
+{
+public:
+    /// Sets every team's share; teams that the rules do not list keep one.
+    void set_shares(const rules& in_force);
+    void set_allowance(const team_name& team, const resources& amount);
+
+    /// Makes the account where there is none.
+    team_slot open(const team_name& team);
+    /// `no_slot` where the team has no account.
+    [[nodiscard]] team_slot find(const team_name& team) const;
+    [[nodiscard]] const team_account& at(team_slot slot) const
+    {
+        return accounts_[slot];
+    }
+    [[nodiscard]] team_account& at(team_slot slot) { return accounts_[slot]; }
+
+    /// What the team may place besides what it has placed.
+    [[nodiscard]] resources left(team_slot slot) const
+    {
+        return accounts_[slot].allowance - accounts_[slot].used;
+    }
+
+    /// The largest part of any resource that the team has placed, divided by
+    /// the team's share: weighted dominant share (Ghodsi et al., "Dominant
+    /// Resource Fairness", NSDI 2011).
+    [[nodiscard]] double
+    dominant_share(team_slot slot, const resources& total) const;
+
+private:
+    std::vector<team_account> accounts_;
+    absl::flat_hash_map<team_name, team_slot> by_name_;
+};
+
+} // namespace acaciastile::impl
