--- a/src/cell/claim_planner.cpp
+++ b/src/cell/claim_planner.cpp
@@ -25,8 +25,7 @@
     note_members(now, alive);
     const std::map<shard_id, member> preferred =
         preferred_owners(shards, alive);
-    const bool stable =
-        now - stable_since_ >= settings_.stable_before_release;
+    const bool stable = now - stable_since_ >= settings_.stable_before_release;
     claim_plan plan;
     for (const shard_info& shard : shards.shards())
     {
@@ -71,8 +70,7 @@
     return now - started_ >= settings_.unknown_owner_grace;
 }
 
-void claim_planner::note_members(
-    instant now, const std::vector<member>& alive)
+void claim_planner::note_members(instant now, const std::vector<member>& alive)
 {
     std::vector<instance_id> ids;
     ids.reserve(alive.size());
--- a/src/cell/claim_planner.hpp
+++ b/src/cell/claim_planner.hpp
@@ -51,9 +51,7 @@
     claim_planner(instance_id self, claim_settings settings, instant started);
 
     [[nodiscard]] bool owner_is_gone(
-        instant now,
-        const shard_claim& claim,
-        const membership& members) const;
+        instant now, const shard_claim& claim, const membership& members) const;
     void note_members(instant now, const std::vector<member>& alive);
 
     instance_id self_;
--- a/src/cell/instance.cpp
+++ b/src/cell/instance.cpp
@@ -34,8 +34,7 @@
     return ports.log != nullptr && ports.vms != nullptr &&
            ports.workers != nullptr && ports.peers != nullptr &&
            ports.events != nullptr && ports.metrics != nullptr &&
-           ports.clock != nullptr && ports.make_scheduler &&
-           ports.random_bytes;
+           ports.clock != nullptr && ports.make_scheduler && ports.random_bytes;
 }
 
 } // namespace
@@ -94,8 +93,7 @@
             completion<std::string> done)
         { handle_local(method, body, std::move(done)); });
     ports_.workers->on_notice(
-        [this, alive = std::weak_ptr<bool>(alive_)](
-            const worker_notice& notice)
+        [this, alive = std::weak_ptr<bool>(alive_)](const worker_notice& notice)
         {
             if (alive.expired())
             {
--- a/src/cell/instance.hpp
+++ b/src/cell/instance.hpp
@@ -29,8 +29,8 @@
 {
 public:
     /// Errors: `invalid_value` where a port or the own id is missing.
-    [[nodiscard]] static result<std::unique_ptr<instance>>
-    create(instance_settings settings, instance_ports ports, std::uint64_t seed);
+    [[nodiscard]] static result<std::unique_ptr<instance>> create(
+        instance_settings settings, instance_ports ports, std::uint64_t seed);
     ~instance() override;
 
     void submit(
@@ -105,10 +105,8 @@
         instant now,
         presented_key key,
         completion<std::vector<worker_status>> done) override;
-    void dump(
-        instant now,
-        presented_key key,
-        completion<std::string> done) override;
+    void
+    dump(instant now, presented_key key, completion<std::string> done) override;
     void on_peer(
         instant now,
         const std::string& method,
@@ -164,7 +162,8 @@
     [[nodiscard]] result<void>
     admit(const presented_key& key, job_spec& spec) const;
     /// Team whose jobs the key may see; empty for an operator: all.
-    [[nodiscard]] result<team_name> visible_team(const presented_key& key) const;
+    [[nodiscard]] result<team_name>
+    visible_team(const presented_key& key) const;
 
     // Calls to shards.
     void call_shard(
--- a/src/cell/instance_calls.cpp
+++ b/src/cell/instance_calls.cpp
@@ -6,8 +6,8 @@
 #include "cell/shard_capacity.hpp"
 #include "codec/document_codec.hpp"
 #include "codec/json_text.hpp"
-#include "domain/key_check.hpp"
 #include "domain/hex.hpp"
+#include "domain/key_check.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -140,8 +140,8 @@
         done(refuse(refusal_code::unknown_job, "no job has that id"));
         return;
     }
-    auto checked = [team = *team, done = std::move(done)](
-                       result<job_status> found)
+    auto checked =
+        [team = *team, done = std::move(done)](result<job_status> found)
     {
         if (found && !team.empty() && found->team != team)
         {
@@ -160,10 +160,7 @@
 }
 
 void instance::cancel(
-    instant /*now*/,
-    presented_key key,
-    job_id job,
-    completion<job_status> done)
+    instant /*now*/, presented_key key, job_id job, completion<job_status> done)
 {
     auto team = visible_team(key);
     if (!team)
@@ -327,7 +324,8 @@
     inventory content,
     completion<published> done)
 {
-    publish(key, inventory_published{base, std::move(content)}, std::move(done));
+    publish(
+        key, inventory_published{base, std::move(content)}, std::move(done));
 }
 
 void instance::publish_rules(
@@ -375,10 +373,7 @@
 }
 
 void instance::withdraw_key(
-    instant /*now*/,
-    presented_key key,
-    key_id id,
-    completion<published> done)
+    instant /*now*/, presented_key key, key_id id, completion<published> done)
 {
     publish(key, key_withdrawn{std::move(id)}, std::move(done));
 }
@@ -390,7 +385,8 @@
     bool draining,
     completion<published> done)
 {
-    publish(key, workers_drained{std::move(workers), draining}, std::move(done));
+    publish(
+        key, workers_drained{std::move(workers), draining}, std::move(done));
 }
 
 void instance::declare_dead(
--- a/src/cell/instance_keys.cpp
+++ b/src/cell/instance_keys.cpp
@@ -24,13 +24,11 @@
     const auto split = split_presented(key.text);
     if (!split)
     {
-        return refuse(
-            refusal_code::unauthenticated, "the key is not in force");
+        return refuse(refusal_code::unauthenticated, "the key is not in force");
     }
     const key_entry* known = cell().find_key(split->id);
     if (known == nullptr && settings_.bootstrap_key &&
-        !cell().has_operator_key() &&
-        settings_.bootstrap_key->id == split->id)
+        !cell().has_operator_key() && settings_.bootstrap_key->id == split->id)
     {
         known = &*settings_.bootstrap_key;
     }
@@ -38,8 +36,7 @@
     {
         ports_.events->emit(
             {event_number::key_refused, {{"key", split->id.str()}}});
-        return refuse(
-            refusal_code::unauthenticated, "the key is not in force");
+        return refuse(refusal_code::unauthenticated, "the key is not in force");
     }
     return *known;
 }
@@ -53,8 +50,7 @@
     }
     if (known->right != key_right::operate)
     {
-        return refuse(
-            refusal_code::forbidden, "this needs an operator's key");
+        return refuse(refusal_code::forbidden, "this needs an operator's key");
     }
     return {};
 }
--- a/src/cell/instance_reports.cpp
+++ b/src/cell/instance_reports.cpp
@@ -97,9 +97,8 @@
             {
                 configuration_in_force told;
                 told.instance = id;
-                auto decoded = answer
-                                   ? configuration_from_json(*answer)
-                                   : tl::unexpected(answer.error());
+                auto decoded = answer ? configuration_from_json(*answer)
+                                      : tl::unexpected(answer.error());
                 if (decoded)
                 {
                     told = std::move(*decoded);
@@ -200,7 +199,8 @@
                     all.insert_or_assign(worker.entry.id, worker);
                 }
             }
-            for (const worker_entry& entry : cell().inventory_in_force().workers())
+            for (const worker_entry& entry :
+                 cell().inventory_in_force().workers())
             {
                 worker_status unheard;
                 unheard.entry = entry;
--- a/src/cell/instance_shards.cpp
+++ b/src/cell/instance_shards.cpp
@@ -29,8 +29,8 @@
 
 void instance::on_inventory()
 {
-    shards_ = shard_map::create(
-        cell().inventory_in_force(), settings_.shard_workers);
+    shards_ =
+        shard_map::create(cell().inventory_in_force(), settings_.shard_workers);
     for (auto& [id, owner] : owners_)
     {
         if (const shard_info* shard = shards_.find(id))
@@ -75,8 +75,7 @@
             continue;
         }
         auto refused = refused_epochs_.find(shard.id);
-        if (refused != refused_epochs_.end() &&
-            refused->second == claim->epoch)
+        if (refused != refused_epochs_.end() && refused->second == claim->epoch)
         {
             // A worker came from a shard with a higher epoch.
             this->claim(shard.id);
@@ -88,8 +87,7 @@
     {
         return;
     }
-    const claim_plan plan =
-        planner_.plan(now(), cell(), shards_, *members_);
+    const claim_plan plan = planner_.plan(now(), cell(), shards_, *members_);
     for (const shard_id& shard : plan.claim)
     {
         claim(shard);
@@ -179,8 +177,7 @@
         {
             continue;
         }
-        const bool late =
-            now() - state.started >= settings_.release_patience;
+        const bool late = now() - state.started >= settings_.release_patience;
         if (owner->second->may_release() || late)
         {
             owner->second->silence();
@@ -225,16 +222,14 @@
     {
         auto next = preferred.find(shard);
         begin_release(
-            shard,
-            next == preferred.end() ? instance_id() : next->second.id);
+            shard, next == preferred.end() ? instance_id() : next->second.id);
     }
 }
 
 void instance::share_appends()
 {
-    const auto streams =
-        static_cast<std::int64_t>(std::max<std::size_t>(
-            1, cell().claims().size()));
+    const auto streams = static_cast<std::int64_t>(
+        std::max<std::size_t>(1, cell().claims().size()));
     const auto share = milliseconds{
         streams * milliseconds_in_second /
         static_cast<std::int64_t>(settings_.fleet_appends_per_second)};
@@ -273,8 +268,8 @@
     return at == owners_.end() ? nullptr : at->second.get();
 }
 
-std::optional<shard_id> instance::find_shard_for(
-    const job_spec& spec, const shard_id& without) const
+std::optional<shard_id>
+instance::find_shard_for(const job_spec& spec, const shard_id& without) const
 {
     return best_shard_for(shards_, spec, without);
 }
--- a/src/cell/peer_codec.cpp
+++ b/src/cell/peer_codec.cpp
@@ -60,8 +60,7 @@
     return object;
 }
 
-result<task_counts>
-counts_from_json(const json& value, const std::string& path)
+result<task_counts> counts_from_json(const json& value, const std::string& path)
 {
     task_counts counts{};
     field_reader reader(value, path);
--- a/src/cell/request_table.cpp
+++ b/src/cell/request_table.cpp
@@ -15,8 +15,7 @@
     return at == live_.end() ? nullptr : &at->second;
 }
 
-const result<request_answer>*
-request_table::kept_answer(const job_id& id) const
+const result<request_answer>* request_table::kept_answer(const job_id& id) const
 {
     auto at = answers_.find(id);
     return at == answers_.end() ? nullptr : &at->second;
--- a/src/cell/request_table.hpp
+++ b/src/cell/request_table.hpp
@@ -22,10 +22,10 @@
     job_spec spec;
     instant arrived{};
     instant deadline{};
-    std::uint32_t attempts = 0; ///< Number of the last attempt.
+    std::uint32_t attempts = 0;      ///< Number of the last attempt.
     std::optional<worker_id> worker; ///< Where the last attempt is.
-    bool may_have_run = false; ///< An attempt was sent somewhere.
-    bool confirmed = false;    ///< The worker was seen running it.
+    bool may_have_run = false;       ///< An attempt was sent somewhere.
+    bool confirmed = false;          ///< The worker was seen running it.
     std::vector<completion<request_answer>> waiters;
 };
 
--- a/src/cell/shard_fold.cpp
+++ b/src/cell/shard_fold.cpp
@@ -30,8 +30,7 @@
 
 std::size_t count_open(const std::vector<task_progress>& tasks)
 {
-    auto open = [](const task_progress& task)
-    { return !is_final(task.state); };
+    auto open = [](const task_progress& task) { return !is_final(task.state); };
     return static_cast<std::size_t>(
         std::count_if(tasks.begin(), tasks.end(), open));
 }
@@ -70,8 +69,7 @@
         job.reason};
 }
 
-shard_fold::refusal
-shard_fold::fold(const shard_record& record, bool& twice)
+shard_fold::refusal shard_fold::fold(const shard_record& record, bool& twice)
 {
     if (std::holds_alternative<epoch_opened>(record.change))
     {
@@ -82,8 +80,7 @@
         }
         if (record.epoch < epoch_)
         {
-            return no(
-                refusal_code::stale_epoch, "a newer owner has opened it");
+            return no(refusal_code::stale_epoch, "a newer owner has opened it");
         }
         epoch_ = record.epoch;
         return {};
@@ -117,8 +114,8 @@
     return fold_restated(std::get<job_restated>(record.change));
 }
 
-shard_fold::refusal shard_fold::fold_accepted(
-    const job_accepted& accepted, bool& twice)
+shard_fold::refusal
+shard_fold::fold_accepted(const job_accepted& accepted, bool& twice)
 {
     if (const job_progress* known = find(accepted.spec.id))
     {
@@ -171,8 +168,7 @@
     job_progress& job = at->second;
     const std::uint32_t index = assigned.attempt.task.index;
     if (index >= job.tasks.size() ||
-        job.tasks[index].state != task_state::queued ||
-        !job.moved_to.empty() ||
+        job.tasks[index].state != task_state::queued || !job.moved_to.empty() ||
         job.tasks[index].attempts + 1 != assigned.attempt.number)
     {
         return no(refusal_code::cancelled, "the task does not wait any more");
--- a/src/cell/shard_fold.hpp
+++ b/src/cell/shard_fold.hpp
@@ -24,8 +24,8 @@
     std::size_t open_tasks = 0; ///< Tasks whose state is not final.
     std::string answer;
     std::string reason;
-    log_offset accepted_at = 0;  ///< Order of acceptance.
-    log_offset changed_at = 0;   ///< Last record that changed it.
+    log_offset accepted_at = 0; ///< Order of acceptance.
+    log_offset changed_at = 0;  ///< Last record that changed it.
 
     [[nodiscard]] bool is_final() const noexcept { return open_tasks == 0; }
 };
--- a/src/cell/shard_owner.cpp
+++ b/src/cell/shard_owner.cpp
@@ -62,8 +62,7 @@
         settings_.reader,
         [this](const log_entry& entry) { on_entry(entry); },
         [this](log_offset first_kept) { reader_->restart(first_kept); });
-    writer_ =
-        record_writer::create(log_, stream, settings_.writer, random_());
+    writer_ = record_writer::create(log_, stream, settings_.writer, random_());
     set_rules(host_.cell().rules_in_force());
     for (const worker_entry& worker : shard_.workers)
     {
@@ -133,8 +132,7 @@
         record.id,
         std::move(body),
         patience,
-        [this, alive, job, done = std::move(done)](
-            result<fold_outcome> outcome)
+        [this, alive, job, done = std::move(done)](result<fold_outcome> outcome)
         {
             if (alive.expired())
             {
@@ -186,9 +184,8 @@
     for (const job_id& id : live)
     {
         error told = why;
-        told.effect = requests_.find(id)->may_have_run
-                          ? verdict::may_have_run
-                          : verdict::not_run;
+        told.effect = requests_.find(id)->may_have_run ? verdict::may_have_run
+                                                       : verdict::not_run;
         requests_.finish(now(), id, tl::unexpected(told), false);
     }
 }
@@ -410,8 +407,8 @@
     }
     next_restate_ = now() + restate_interval;
     const std::size_t all = fold_.jobs().size();
-    const std::size_t rounds = static_cast<std::size_t>(std::max<std::int64_t>(
-        1, settings_.restate_period / restate_interval));
+    const std::size_t rounds = static_cast<std::size_t>(
+        std::max<std::int64_t>(1, settings_.restate_period / restate_interval));
     // Where there are fewer jobs than rounds, only some rounds restate one.
     const std::size_t whole = all / rounds;
     const bool extra = random_() % rounds < all % rounds;
--- a/src/cell/shard_owner.hpp
+++ b/src/cell/shard_owner.hpp
@@ -69,8 +69,7 @@
     void
     request(job_spec spec, instant deadline, completion<request_answer> done);
     void cancel(const job_id& job, completion<job_status> done);
-    [[nodiscard]] result<job_status>
-    status(const job_id& job, bool why) const;
+    [[nodiscard]] result<job_status> status(const job_id& job, bool why) const;
     /// Empty where the job runs here or is unknown.
     [[nodiscard]] shard_id moved_to(const job_id& job) const;
     [[nodiscard]] std::vector<job_status> list(const job_filter& filter) const;
@@ -143,8 +142,8 @@
     void refresh_worker_states();
     void set_worker_state_of(const worker_link& link);
     [[nodiscard]] bool may_act() const;
-    [[nodiscard]] job_request
-    make_request(const job_spec& spec, std::vector<std::uint32_t> waiting) const;
+    [[nodiscard]] job_request make_request(
+        const job_spec& spec, std::vector<std::uint32_t> waiting) const;
     [[nodiscard]] start_command
     make_start(const job_spec& spec, const attempt_id& attempt) const;
     [[nodiscard]] result<void> admit(const job_spec& spec) const;
@@ -161,8 +160,7 @@
         task_state state,
         const std::string& answer,
         const std::string& reason);
-    void
-    end_request(const attempt_id& attempt, const ended_attempt& ended);
+    void end_request(const attempt_id& attempt, const ended_attempt& ended);
     void retry_request(live_request& request, bool ran);
     void check_deadlines();
     [[nodiscard]] task_state
@@ -178,9 +176,7 @@
     void on_usage(const attempt_id&, const resources& usage) override;
     void on_ended(const worker_id& worker, const ended_attempt&) override;
     void on_refused(
-        const worker_id& worker,
-        const attempt_id&,
-        refusal_code code) override;
+        const worker_id& worker, const attempt_id&, refusal_code code) override;
     void on_missing(const worker_id& worker, const attempt_id&) override;
     void on_stray(const worker_id& worker, const attempt_id&) override;
     void on_lapsed(const worker_id& worker, const attempt_id&) override;
--- a/src/cell/shard_owner_calls.cpp
+++ b/src/cell/shard_owner_calls.cpp
@@ -43,8 +43,7 @@
         return refuse(
             refusal_code::not_owner, "the shard is being handed over");
     }
-    const queue_rule* queue =
-        host_.cell().rules_in_force().find(spec.queue);
+    const queue_rule* queue = host_.cell().rules_in_force().find(spec.queue);
     if (queue == nullptr)
     {
         return refuse(
@@ -133,8 +132,7 @@
     enqueue(spec, std::move(indexes));
 }
 
-void shard_owner::on_submitted(
-    const job_id& id, result<fold_outcome> outcome)
+void shard_owner::on_submitted(const job_id& id, result<fold_outcome> outcome)
 {
     auto node = accepting_.extract(id);
     if (node.empty())
@@ -189,8 +187,7 @@
     if (spec_of(id) != nullptr)
     {
         done(refuse(
-            refusal_code::conflicting_id,
-            "the id was used before for a job"));
+            refusal_code::conflicting_id, "the id was used before for a job"));
         return;
     }
     if (auto admitted = admit(spec); !admitted)
@@ -213,8 +210,7 @@
 {
     const job_id id = spec.id;
     std::weak_ptr<bool> alive = alive_;
-    auto shared =
-        std::make_shared<completion<request_answer>>(std::move(done));
+    auto shared = std::make_shared<completion<request_answer>>(std::move(done));
     submit(
         std::move(spec),
         [this, alive, id, deadline, shared](result<job_status> accepted)
@@ -222,11 +218,9 @@
             if (!accepted || alive.expired())
             {
                 (*shared)(tl::unexpected(
-                    accepted ? error{refusal_code::not_owner,
-                                     verdict::may_have_run,
-                                     "the shard has another owner now",
-                                     {}}
-                             : accepted.error()));
+                    accepted
+                        ? error{refusal_code::not_owner, verdict::may_have_run, "the shard has another owner now", {}}
+                        : accepted.error()));
                 return;
             }
             wait_for_answer(id, deadline, std::move(*shared));
@@ -383,8 +377,7 @@
         {
             break;
         }
-        const bool wanted =
-            filter.team.empty() || filter.team == job.spec.team;
+        const bool wanted = filter.team.empty() || filter.team == job.spec.team;
         if (wanted && job.moved_to.empty())
         {
             all.push_back(*status(id, false));
@@ -413,9 +406,9 @@
                 status.used += request->spec.each;
             }
         }
-        status.state = !worker->reachable()  ? "unreachable"
-                       : !worker->sealed()   ? "unsealed"
-                       : worker->leaving()   ? "leaving"
+        status.state = !worker->reachable()          ? "unreachable"
+                       : !worker->sealed()           ? "unsealed"
+                       : worker->leaving()           ? "leaving"
                        : host_.cell().is_drained(id) ? "drained"
                                                      : "open";
         all.push_back(std::move(status));
--- a/src/cell/shard_owner_decide.cpp
+++ b/src/cell/shard_owner_decide.cpp
@@ -80,8 +80,7 @@
     assign(*spec, attempts + 1, decided);
 }
 
-void shard_owner::place_request(
-    live_request& request, const worker_id& worker)
+void shard_owner::place_request(live_request& request, const worker_id& worker)
 {
     const task_id task{request.spec.id, 0};
     worker_link* holder = link(worker);
@@ -154,7 +153,8 @@
     {
         const task_id task{spec.id, index};
         queued_.insert(task);
-        first = std::min(first, queued_at_.try_emplace(task, now()).first->second);
+        first =
+            std::min(first, queued_at_.try_emplace(task, now()).first->second);
     }
     job_request request = make_request(spec, std::move(indexes));
     request.queued_at = first;
@@ -303,11 +303,10 @@
 void shard_owner::set_worker_state_of(const worker_link& worker)
 {
     const worker_id& id = worker.entry().id;
-    const bool confirmed = worker.sealed() &&
-                           worker.sealed_at() <= host_.last_log_contact();
-    const bool open = confirmed && worker.reachable() &&
-                      !worker.leaving() && !worker.has_strays() &&
-                      !host_.cell().is_drained(id) &&
+    const bool confirmed =
+        worker.sealed() && worker.sealed_at() <= host_.last_log_contact();
+    const bool open = confirmed && worker.reachable() && !worker.leaving() &&
+                      !worker.has_strays() && !host_.cell().is_drained(id) &&
                       host_.cell().declared_dead_at(id) == 0 &&
                       !host_.is_vm_leaving(id);
     scheduler_->set_worker_state(
@@ -330,8 +329,8 @@
     return request;
 }
 
-start_command shard_owner::make_start(
-    const job_spec& spec, const attempt_id& attempt) const
+start_command
+shard_owner::make_start(const job_spec& spec, const attempt_id& attempt) const
 {
     return {attempt, spec.each, spec.run_time, spec.name, spec.payload};
 }
--- a/src/cell/shard_owner_ends.cpp
+++ b/src/cell/shard_owner_ends.cpp
@@ -59,8 +59,7 @@
     }
 }
 
-void shard_owner::on_started(
-    const worker_id& worker, const attempt_id& attempt)
+void shard_owner::on_started(const worker_id& worker, const attempt_id& attempt)
 {
     emit(
         event_number::attempt_started,
@@ -76,8 +75,7 @@
     scheduler_->set_usage(attempt.task, usage);
 }
 
-void shard_owner::on_ended(
-    const worker_id& worker, const ended_attempt& ended)
+void shard_owner::on_ended(const worker_id& worker, const ended_attempt& ended)
 {
     const attempt_id& attempt = ended.attempt;
     worker_link* holder = link(worker);
@@ -122,8 +120,7 @@
         lose_attempt(attempt, "its lease lapsed on the worker");
         return;
     }
-    end_attempt(
-        attempt, state_after(*job, ended), ended.answer, ended.reason);
+    end_attempt(attempt, state_after(*job, ended), ended.answer, ended.reason);
 }
 
 task_state shard_owner::state_after(
@@ -176,8 +173,7 @@
     (void)worker;
 }
 
-void shard_owner::on_missing(
-    const worker_id& worker, const attempt_id& attempt)
+void shard_owner::on_missing(const worker_id& worker, const attempt_id& attempt)
 {
     (void)worker;
     scheduler_->end(attempt.task, {});
@@ -190,8 +186,7 @@
     (void)attempt;
 }
 
-void shard_owner::on_lapsed(
-    const worker_id& worker, const attempt_id& attempt)
+void shard_owner::on_lapsed(const worker_id& worker, const attempt_id& attempt)
 {
     emit(
         event_number::worker_lapsed,
--- a/src/cell/shard_router.cpp
+++ b/src/cell/shard_router.cpp
@@ -29,13 +29,7 @@
     local_handler local)
 {
     return std::unique_ptr<shard_router>(new shard_router(
-        std::move(self),
-        settings,
-        seed,
-        cell,
-        peers,
-        clock,
-        std::move(local)));
+        std::move(self), settings, seed, cell, peers, clock, std::move(local)));
 }
 
 shard_router::shard_router(
@@ -118,8 +112,7 @@
     std::weak_ptr<bool> alive = alive_;
     auto answered = [this, alive, call, sequence](result<std::string> answer)
     {
-        if (!alive.expired() && call->sequence == sequence &&
-            call->in_flight)
+        if (!alive.expired() && call->sequence == sequence && call->in_flight)
         {
             on_answer(call, std::move(answer));
         }
--- a/src/cell/shard_router.hpp
+++ b/src/cell/shard_router.hpp
@@ -9,8 +9,8 @@
 #include <cstdint>
 #include <functional>
 #include <list>
-#include <random>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace acaciastile
@@ -61,10 +61,7 @@
     /// Sends what is due again and gives up what is late.
     void tick();
 
-    [[nodiscard]] std::size_t in_hand() const noexcept
-    {
-        return calls_.size();
-    }
+    [[nodiscard]] std::size_t in_hand() const noexcept { return calls_.size(); }
     [[nodiscard]] std::uint64_t retries() const noexcept { return retries_; }
 
 private:
--- a/src/cell/shard_settings.hpp
+++ b/src/cell/shard_settings.hpp
@@ -22,7 +22,7 @@
     /// through a peer, stops renewing leases. A new owner waits for it
     /// before it believes that workers it cannot reach have stopped.
     milliseconds log_silence_limit{2 * 60 * 60 * 1000};
-    milliseconds write_patience{5'000};  ///< For what a caller waits for.
+    milliseconds write_patience{5'000}; ///< For what a caller waits for.
     milliseconds allowance_interval{250};
     milliseconds restate_period{8 * 60 * 60 * 1000}; ///< A third of retention.
     milliseconds retry_after_failure{1'000}; ///< Doubled with each attempt.
--- a/src/cell/worker_link.cpp
+++ b/src/cell/worker_link.cpp
@@ -180,8 +180,8 @@
 
 milliseconds worker_link::lease_on_own_clock() const noexcept
 {
-    const auto longest = settings_.lease * per_mille /
-                         (per_mille - settings_.drift_per_mille);
+    const auto longest =
+        settings_.lease * per_mille / (per_mille - settings_.drift_per_mille);
     return longest + settings_.lapse_margin;
 }
 
@@ -290,7 +290,8 @@
         forgets_.erase(attempt);
     }
     std::erase_if(
-        stops_, [this](const auto& stop) { return !held_.contains(stop.first); });
+        stops_,
+        [this](const auto& stop) { return !held_.contains(stop.first); });
     settle_held(report);
     note_strays(report);
     if (first)
@@ -348,8 +349,7 @@
             listener_.on_refused(entry_.id, attempt, at->second);
             continue;
         }
-        if (phase == attempt_phase::running ||
-            phase == attempt_phase::adopted)
+        if (phase == attempt_phase::running || phase == attempt_phase::adopted)
         {
             held_.erase(attempt);
             starts_.erase(attempt);
@@ -396,8 +396,7 @@
     {
         if (phase == attempt_phase::unsent)
         {
-            listener_.on_refused(
-                entry_.id, attempt, refusal_code::unreachable);
+            listener_.on_refused(entry_.id, attempt, refusal_code::unreachable);
             continue;
         }
         listener_.on_lapsed(entry_.id, attempt);
--- a/tests/golden/story.cpp
+++ b/tests/golden/story.cpp
@@ -183,8 +183,7 @@
              worker});
     }
     const resources plenty{1'000'000, 1'000'000, 100};
-    limits_ = {
-        {"planning", plenty}, {"orders", plenty}, {"unlocks", plenty}};
+    limits_ = {{"planning", plenty}, {"orders", plenty}, {"unlocks", plenty}};
     line("session " + name);
 }
 
@@ -203,8 +202,8 @@
             for (std::size_t number = 1; number <= size_.workers; ++number)
             {
                 names.push_back(
-                    "w" + std::to_string(centre) + "-" +
-                    std::to_string(rack) + "-" + std::to_string(number));
+                    "w" + std::to_string(centre) + "-" + std::to_string(rack) +
+                    "-" + std::to_string(number));
             }
         }
     }
@@ -571,8 +570,7 @@
         ids.emplace_back(name);
     }
     auto told = wait_for<published>(
-        [&](completion<published> done)
-        {
+        [&](completion<published> done) {
             at(via).declare_dead(
                 now(), key_of(operator_team), ids, std::move(done));
         });
@@ -676,18 +674,16 @@
     };
 }
 
-void story::submit(
-    const std::string& via, const std::string& team, ask wanted)
+void story::submit(const std::string& via, const std::string& team, ask wanted)
 {
     transcript_.team_of_job[wanted.id] = team;
-    const std::size_t call = begin_call(
-        {wanted.id, via, "submit", team, {}, wanted.repeatable});
+    const std::size_t call =
+        begin_call({wanted.id, via, "submit", team, {}, wanted.repeatable});
     at(via).submit(
         now(), key_of(team), make_spec(team, wanted), noted<job_status>(call));
 }
 
-void story::request(
-    const std::string& via, const std::string& team, ask wanted)
+void story::request(const std::string& via, const std::string& team, ask wanted)
 {
     wanted.kind = job_kind::request;
     transcript_.team_of_job[wanted.id] = team.empty() ? "planning" : team;
--- a/tests/golden/story.hpp
+++ b/tests/golden/story.hpp
@@ -84,13 +84,9 @@
     void submit(const std::string& via, const std::string& team, ask wanted);
     void request(const std::string& via, const std::string& team, ask wanted);
     void cancel(
-        const std::string& via,
-        const std::string& team,
-        const std::string& id);
+        const std::string& via, const std::string& team, const std::string& id);
     void status(
-        const std::string& via,
-        const std::string& team,
-        const std::string& id);
+        const std::string& via, const std::string& team, const std::string& id);
 
     /// The VM list says that a worker leaves.
     void leave(const std::string& worker);
