--- /dev/null
+++ b/tests/cell/record_writer_test.cpp
@@ -0,0 +1,260 @@
+#include "cell/record_writer.hpp"
+#include "cell/stream_reader.hpp"
+#include "support/log_fixture.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+using namespace acaciastile;
+
+namespace
+{
+
+const stream_name stream("s");
+constexpr milliseconds patience{30'000};
+
+/// A writer and the reader that settles it; a record's body is its id.
+struct writing : log_fixture
+{
+    explicit writing(record_writer_settings settings = {})
+    {
+        writer = record_writer::create(log, stream, settings, 7);
+        reader = stream_reader::create(
+            log,
+            stream,
+            1,
+            {},
+            [this](const log_entry& entry) { take(entry); },
+            [](log_offset) {});
+    }
+
+    void take(const log_entry& entry)
+    {
+        ++copies;
+        if (!seen.insert(entry.body).second)
+        {
+            return;
+        }
+        first_copies.push_back(entry.body);
+        fold_outcome outcome;
+        outcome.offset = entry.offset;
+        writer->settle(entry.body, outcome);
+    }
+
+    void write(const std::string& id, milliseconds within = patience)
+    {
+        auto done = [this, id](const result<fold_outcome>& outcome)
+        {
+            ++answers;
+            ended.emplace(
+                id,
+                outcome ? outcome->offset > 0 ? "in log" : "?"
+                        : std::string(to_string(outcome.error().effect)));
+        };
+        writer->write(timers.now(), id, id, within, done);
+    }
+
+    void run(milliseconds span)
+    {
+        run_for(
+            span,
+            [this](instant now)
+            {
+                writer->tick(now);
+                if (writer->wants_read())
+                {
+                    reader->poll_soon();
+                }
+                reader->tick(now);
+            });
+    }
+
+    std::unique_ptr<record_writer> writer;
+    std::unique_ptr<stream_reader> reader;
+    std::map<std::string, std::string> ended;
+    std::set<std::string> seen;
+    std::vector<std::string> first_copies;
+    std::size_t answers = 0;
+    std::size_t copies = 0;
+};
+
+} // namespace
+
+TEST_CASE("records share appends and end once they are read back", "[writer]")
+{
+    writing bench;
+    for (int at = 0; at < 1'400; ++at)
+    {
+        bench.write(std::to_string(at));
+    }
+    bench.run(milliseconds(400));
+    CHECK(bench.writer->pending() == 0);
+    CHECK(bench.writer->appends_sent() == 2);
+    CHECK(bench.answers == 1'400);
+    CHECK(bench.copies == 1'400);
+    CHECK_FALSE(bench.writer->wants_read());
+}
+
+TEST_CASE("appends keep the interval of the share", "[writer]")
+{
+    record_writer_settings settings;
+    settings.batch_interval = milliseconds(200);
+    writing bench(settings);
+    for (int at = 0; at < 100; ++at)
+    {
+        bench.write(std::to_string(at));
+        bench.run(milliseconds(10));
+    }
+    CHECK(bench.writer->appends_sent() <= 6);
+    bench.writer->set_batch_interval(milliseconds(10));
+    bench.run(milliseconds(1'000));
+    CHECK(bench.writer->pending() == 0);
+}
+
+TEST_CASE("a batch keeps its bound of bytes but for one record", "[writer]")
+{
+    record_writer_settings settings;
+    settings.batch_bytes = 8;
+    writing bench(settings);
+    bench.write("longer than the bound");
+    bench.write("four");
+    bench.write("more");
+    bench.write("last");
+    bench.run(milliseconds(500));
+    CHECK(bench.writer->appends_sent() == 3);
+    CHECK(bench.writer->pending() == 0);
+}
+
+TEST_CASE("a lost answer is settled by reading", "[writer]")
+{
+    auto manner = GENERATE(lost_answer::late_error, lost_answer::never);
+    writing bench;
+    bench.log.lose_append_answers(1, manner);
+    bench.write("a");
+    bench.run(milliseconds(6'000));
+    CHECK(bench.ended["a"] == "in log");
+    CHECK(bench.answers == 1);
+    CHECK(bench.copies == 1);
+}
+
+TEST_CASE("records appended twice after lost answers end once", "[writer]")
+{
+    writing bench;
+    bench.log.lose_append_answers(2);
+    bench.log.fail_reads(true);
+    bench.write("a");
+    bench.run(milliseconds(9'000));
+    CHECK(bench.ended.empty());
+    bench.log.fail_reads(false);
+    bench.run(milliseconds(2'000));
+    CHECK(bench.ended["a"] == "in log");
+    CHECK(bench.answers == 1);
+    CHECK(bench.copies > 1);
+}
+
+TEST_CASE("a log that is down gives a true not_run after patience", "[writer]")
+{
+    writing bench;
+    bench.log.set_down(true);
+    bench.write("a", milliseconds(2'000));
+    bench.run(milliseconds(3'000));
+    CHECK(bench.ended["a"] == "not_run");
+    bench.log.set_down(false);
+    bench.run(milliseconds(10'000));
+    CHECK(bench.copies == 0);
+}
+
+TEST_CASE("an append that may have taken effect is never not_run", "[writer]")
+{
+    writing bench;
+    bench.log.lose_append_answers(1);
+    bench.log.fail_reads(true);
+    bench.write("a", milliseconds(4'000));
+    bench.run(milliseconds(3'500));
+    bench.log.set_down(true); // Later tries are refused; the first was not.
+    bench.run(milliseconds(2'000));
+    CHECK(bench.ended["a"] == "may_have_run");
+    bench.log.set_down(false);
+    bench.log.fail_reads(false);
+    bench.run(milliseconds(2'000));
+    CHECK(bench.seen.contains("a"));
+}
+
+TEST_CASE("a record in flight at its deadline may have run", "[writer]")
+{
+    writing bench;
+    bench.log.set_slow(milliseconds(800));
+    bench.write("a", milliseconds(500));
+    bench.run(milliseconds(600));
+    CHECK(bench.ended["a"] == "may_have_run");
+    bench.run(milliseconds(3'000));
+    CHECK(bench.answers == 1);
+    CHECK(bench.writer->pending() == 0);
+}
+
+TEST_CASE("tries against a log that is down are spaced out", "[writer]")
+{
+    writing bench;
+    bench.log.set_down(true);
+    bench.write("a", milliseconds(60'000));
+    bench.run(milliseconds(60'000));
+    CHECK(bench.writer->appends_sent() < 60);
+}
+
+TEST_CASE("giving up tells for each record whether it was sent", "[writer]")
+{
+    writing bench;
+    bench.log.set_slow(milliseconds(500));
+    bench.write("sent");
+    bench.run(milliseconds(20));
+    bench.write("waiting");
+    bench.writer->abandon({refusal_code::shutting_down});
+    CHECK(bench.ended["sent"] == "may_have_run");
+    CHECK(bench.ended["waiting"] == "not_run");
+    CHECK(bench.writer->pending() == 0);
+    bench.run(milliseconds(3'000));
+    CHECK(bench.answers == 2);
+    CHECK_FALSE(bench.seen.contains("waiting"));
+}
+
+TEST_CASE("too many pending records and repeated ids are refused", "[writer]")
+{
+    record_writer_settings settings;
+    settings.pending_records = 2;
+    writing bench(settings);
+    bench.write("a");
+    bench.write("a");
+    CHECK(bench.ended["a"] == "not_run");
+    bench.write("b");
+    bench.write("c");
+    CHECK(bench.ended["c"] == "not_run");
+    CHECK(bench.writer->pending() == 2);
+}
+
+TEST_CASE("first copies keep the order of writes under faults", "[writer]")
+{
+    auto seed = GENERATE(range(1U, 9U));
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    writing bench;
+    bench.log.lose_append_answers_at_random(0.3, lost_answer::never);
+    std::vector<std::string> written;
+    for (int at = 0; at < 300; ++at)
+    {
+        written.push_back(std::to_string(at));
+        bench.write(written.back(), milliseconds(600'000));
+        if (random() % 10 == 0)
+        {
+            bench.log.refuse_appends(random() % 3);
+        }
+        bench.log.fail_reads(random() % 5 == 0);
+        bench.run(milliseconds(10 * (random() % 20)));
+    }
+    bench.log.lose_append_answers_at_random(0);
+    bench.log.fail_reads(false);
+    bench.run(milliseconds(60'000));
+    CHECK(bench.writer->pending() == 0);
+    CHECK(bench.first_copies == written);
+    CHECK(bench.answers == written.size());
+}
