--- a/src/cell/instance.cpp
+++ b/src/cell/instance.cpp
@@ -4,6 +4,7 @@
 
 #include "cell/stream_names.hpp"
 #include "codec/record_codec.hpp"
+#include "domain/hex.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -16,19 +17,6 @@
 
 constexpr std::size_t name_bytes = 6;
 
-std::string to_hex(const std::string& bytes)
-{
-    static constexpr char digits[] = "0123456789abcdef";
-    std::string text;
-    for (const char byte : bytes)
-    {
-        const auto value = static_cast<unsigned char>(byte);
-        text.push_back(digits[value >> 4]);
-        text.push_back(digits[value & 0xf]);
-    }
-    return text;
-}
-
 bool is_complete(const instance_ports& ports)
 {
     return ports.log != nullptr && ports.vms != nullptr &&
@@ -69,9 +57,13 @@
 {
     follower_ = cell_follower::create(
         *ports_.log,
-        settings_.shard.reader,
+        settings_.follower,
+        settings_.self.id.str(),
+        random_(),
+        *ports_.events,
         [this](const cell_record& record, const fold_outcome& outcome)
-        { on_cell_record(record, outcome); });
+        { on_cell_record(record, outcome); },
+        [this] { on_snapshot_loaded(); });
     writer_ = record_writer::create(
         *ports_.log, cell_stream(), settings_.writer, random_());
     members_ = membership::create(
@@ -223,6 +215,17 @@
     }
 }
 
+void instance::on_snapshot_loaded()
+{
+    writer_->settle_known(
+        [this](const std::string& id) { return cell().outcome_of(id); });
+    on_inventory();
+    for (auto& [id, owner] : owners_)
+    {
+        owner->set_rules(cell().rules_in_force());
+    }
+}
+
 void instance::poll_vms()
 {
     if (vm_poll_in_flight_ || now() < next_vm_poll_)
@@ -261,10 +264,14 @@
         });
 }
 
+bool instance::has_configuration() const
+{
+    return follower_->started() && cell().inventory_revision() != 0;
+}
+
 bool instance::ready() const
 {
-    return !shutting_down_ && follower_->last_contact() != instant::min() &&
-           follower_->state().inventory_revision() != 0;
+    return !shutting_down_ && has_configuration();
 }
 
 void instance::begin_shutdown(instant /*now*/)
--- a/src/cell/instance.hpp
+++ b/src/cell/instance.hpp
@@ -144,7 +144,9 @@
 
     // Configuration and shards.
     void on_cell_record(const cell_record& record, const fold_outcome& outcome);
+    void on_snapshot_loaded();
     void on_inventory();
+    [[nodiscard]] bool has_configuration() const;
     void poll_vms();
     void manage_shards();
     void claim(const shard_id& shard);
--- a/src/cell/instance_calls.cpp
+++ b/src/cell/instance_calls.cpp
@@ -22,8 +22,6 @@
 
 constexpr milliseconds status_patience{5'000};
 constexpr milliseconds status_try{2'000};
-constexpr std::size_t secret_bytes = 24;
-constexpr std::size_t salt_bytes = 16;
 constexpr std::size_t key_name_bytes = 6;
 
 /// Decodes a JSON answer into a typed one.
@@ -345,19 +343,16 @@
     key_right right,
     completion<granted_key> done)
 {
-    const key_id id(to_hex(ports_.random_bytes(key_name_bytes)));
-    auto made = make_key(
-        id,
-        team,
-        right,
-        ports_.random_bytes(salt_bytes),
-        ports_.random_bytes(secret_bytes));
+    const std::string name = ports_.random_bytes(key_name_bytes);
+    const std::string random = ports_.random_bytes(key_random_bytes);
+    const std::vector<std::uint8_t> bytes(random.begin(), random.end());
+    auto made = make_key(key_id(to_hex(name)), team, right, bytes);
     if (!made)
     {
         done(tl::unexpected(made.error()));
         return;
     }
-    granted_key granted{made->entry, made->secret_text};
+    granted_key granted{made->entry, made->presented};
     publish(
         key,
         key_granted{granted.entry},
--- a/src/cell/instance_settings.hpp
+++ b/src/cell/instance_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/cell_follower.hpp"
 #include "cell/claim_planner.hpp"
 #include "cell/membership.hpp"
 #include "cell/record_writer.hpp"
@@ -7,6 +8,9 @@
 #include "cell/shard_router.hpp"
 #include "cell/shard_settings.hpp"
 #include "domain/key_entry.hpp"
+#include "domain/metric_sink.hpp"
+#include "platform/worker_gateway.hpp"
+#include "policy/scheduler.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -27,6 +31,7 @@
     membership_settings members;
     claim_settings claims;
     shard_settings shard;
+    cell_follower_settings follower;
     shard_router_settings router;
     record_writer_settings writer; ///< For the cell's stream.
     std::size_t shard_workers = shard_map::default_shard_workers;
--- a/src/cell/instance_shards.cpp
+++ b/src/cell/instance_shards.cpp
@@ -43,7 +43,7 @@
 
 void instance::manage_shards()
 {
-    if (now() < next_manage_ || !ready())
+    if (now() < next_manage_ || !has_configuration())
     {
         return;
     }
@@ -96,6 +96,13 @@
     {
         begin_release(shard, successor);
     }
+    const std::vector<member> alive = members_->alive();
+    const auto own = std::find_if(
+        alive.begin(),
+        alive.end(),
+        [this](const member& one) { return one.id == settings_.self.id; });
+    follower_->set_rank(
+        static_cast<std::size_t>(std::distance(alive.begin(), own)));
     share_appends();
     report_metrics();
 }
--- a/tests/golden/story.cpp
+++ b/tests/golden/story.cpp
@@ -39,14 +39,11 @@
     return "group-" + data_centre(number);
 }
 
-key_material first_key()
-{
-    return make_key(
-               key_id("first"),
-               team_name(),
-               key_right::operate,
-               std::string(16, 's'),
-               std::string(24, 'k'))
+/// The operator's key that every story begins with.
+made_key first_key()
+{
+    const std::vector<std::uint8_t> bytes(key_random_bytes, 7);
+    return make_key(key_id("first"), team_name(), key_right::operate, bytes)
         .value();
 }
 
@@ -422,7 +419,7 @@
 
 void story::set_up(const std::string& via)
 {
-    keys_[operator_team] = first_key().secret_text;
+    keys_[operator_team] = first_key().presented;
     run(milliseconds{1'000});
     std::vector<worker_entry> entries;
     for (const std::string& worker : workers())
