--- a/src/cell/record_writer.cpp
+++ b/src/cell/record_writer.cpp
@@ -54,6 +54,7 @@
     void
     settle(const std::string& record_id, const fold_outcome& outcome) override;
 
+    void settle_known(const outcome_lookup& lookup) override;
     void tick(instant now) override;
     void abandon(const error& why) override;
 
@@ -149,6 +150,22 @@
     record.done(outcome);
 }
 
+void batching_record_writer::settle_known(const outcome_lookup& lookup)
+{
+    std::vector<std::pair<std::string, fold_outcome>> known;
+    for (const auto& [number, record] : records_)
+    {
+        if (auto outcome = lookup(record.id))
+        {
+            known.emplace_back(record.id, std::move(*outcome));
+        }
+    }
+    for (const auto& [id, outcome] : known)
+    {
+        settle(id, outcome);
+    }
+}
+
 void batching_record_writer::tick(instant now)
 {
     now_ = now;
--- a/src/cell/record_writer.hpp
+++ b/src/cell/record_writer.hpp
@@ -6,7 +6,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace acaciastile
@@ -27,6 +29,11 @@
 /// is settled by reading alone: the owner of the reader calls `settle` for
 /// every record that it folds. An append whose answer is lost is sent again
 /// with the same ids, which fold to nothing the second time.
+///
+/// At most one append is in flight and what was not confirmed goes first into
+/// the next one, so the first copies of records stand in the stream in the
+/// order of the calls of `write`. Only a record that was given up with
+/// `may_have_run` may still appear after later ones.
 class record_writer
 {
 public:
@@ -53,6 +60,15 @@
     virtual void
     settle(const std::string& record_id, const fold_outcome& outcome) = 0;
 
+    /// Tells the outcome of a record by its id; empty where it is not known.
+    using outcome_lookup =
+        std::function<std::optional<fold_outcome>(const std::string&)>;
+
+    /// Settles every pending record that the lookup knows. To be called when
+    /// a snapshot has replaced the folded state, because the records that it
+    /// covers are not handed out one by one.
+    virtual void settle_known(const outcome_lookup& lookup) = 0;
+
     virtual void tick(instant now) = 0;
 
     /// Gives every pending record up: those never sent with `not_run`.
--- /dev/null
+++ b/src/cell/snapshot_policy.cpp
@@ -0,0 +1,36 @@
+#include "cell/snapshot_policy.hpp"
+
+#include <algorithm>
+
+namespace acaciastile
+{
+
+namespace
+{
+
+/// Later instances in the order all wait this many times longer at most.
+constexpr double longest_wait = 1.8;
+
+} // namespace
+
+bool due(const snapshot_need& need, const snapshot_policy& policy) noexcept
+{
+    if (!need.at_head || need.applied == 0)
+    {
+        return false;
+    }
+    const double wait = std::min(
+        longest_wait, 1.0 + policy.stagger * static_cast<double>(need.rank));
+    const std::uint64_t records =
+        need.applied > need.covered ? need.applied - need.covered : 0;
+    if (static_cast<double>(records) >=
+        wait * static_cast<double>(policy.records))
+    {
+        return true;
+    }
+    const milliseconds bound = need.age_known ? policy.age : policy.unknown_age;
+    return static_cast<double>(need.age.count()) >=
+           wait * static_cast<double>(bound.count());
+}
+
+} // namespace acaciastile
--- /dev/null
+++ b/src/cell/stream_names.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "domain/ids.hpp"
+#include "platform/log_service.hpp"
+
+#include <string>
+
+namespace acaciastile
+{
+
+/// The cell's own stream: configuration, keys, claims, allowances.
+[[nodiscard]] inline stream_name cell_stream()
+{
+    return stream_name("cell");
+}
+
+/// The chunks of snapshots of the cell's state.
+[[nodiscard]] inline stream_name snapshot_stream()
+{
+    return stream_name("cell.snapshots");
+}
+
+/// One short entry for each complete snapshot: followers read this stream
+/// and not the chunks.
+[[nodiscard]] inline stream_name snapshot_index_stream()
+{
+    return stream_name("cell.snapshots.index");
+}
+
+/// The stream of one shard's jobs and attempts.
+[[nodiscard]] inline stream_name shard_stream(const shard_id& shard)
+{
+    return stream_name("shard." + shard.str());
+}
+
+} // namespace acaciastile
