--- a/src/cell/membership.hpp
+++ b/src/cell/membership.hpp
@@ -32,6 +32,10 @@
     milliseconds suspicion{3'000}; ///< From suspected to dead.
     std::uint32_t indirect_probes = 2;
     std::uint32_t updates_in_message = 8; ///< Bound of what is passed on.
+    milliseconds contact_interval{2'000}; ///< Tries of dead or new instances.
+    milliseconds sync_interval{10'000};   ///< Comparisons of whole lists.
+    std::uint32_t sync_entries = 16;      ///< Bound of one page of a list.
+    milliseconds dead_kept{86'400'000};   ///< Then a dead one is forgotten.
 };
 
 /// Which instances are alive: one random probe an interval, indirect probes,
@@ -75,10 +79,10 @@
     /// Itself included, sorted by id. A suspected one counts as alive.
     [[nodiscard]] virtual std::vector<member> alive() const = 0;
     [[nodiscard]] virtual bool is_alive(const instance_id& id) const = 0;
-    /// True from the moment that it was suspected.
+    /// True from the moment that it was suspected, also once it is dead.
     [[nodiscard]] virtual bool is_suspected(const instance_id& id) const = 0;
     /// Since when this instance knows it to be dead; `instant::max()` where
-    /// it is alive or was never heard of.
+    /// it is alive or was never heard of. Also of one that left.
     [[nodiscard]] virtual instant dead_since(const instance_id& id) const = 0;
 };
 
--- /dev/null
+++ b/src/cell/swim_probes.cpp
@@ -0,0 +1,243 @@
+#include "cell/swim_membership.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciastile::impl
+{
+
+namespace
+{
+
+/// Between two searches for suspicions that have come to their end.
+constexpr milliseconds suspicion_check{100};
+
+/// A probe whose direct part brought no answer.
+struct unanswered_probe
+{
+    member target;
+    bool is_final = false;
+};
+
+} // namespace
+
+void swim_membership::start_due_probe()
+{
+    if (now_ < next_probe_)
+    {
+        return;
+    }
+    next_probe_ = now_ + settings_.probe_interval;
+    if (const member* target = next_in_round())
+    {
+        start_probe(member(*target));
+    }
+}
+
+/// A suspicion that has come to its end needs one more failed probe. Whoever
+/// suspected first goes on asking until then, so that it can be denied.
+void swim_membership::check_suspicions()
+{
+    if (now_ < next_check_)
+    {
+        return;
+    }
+    next_check_ = now_ + suspicion_check;
+    std::vector<member> due;
+    for (const auto& [id, record] : table_.others())
+    {
+        if (record.status != member_status::suspected)
+        {
+            continue;
+        }
+        const auto doubt = next_doubt_.find(id);
+        const bool again = doubt != next_doubt_.end() && doubt->second <= now_;
+        if (again || record.suspicion_end <= now_)
+        {
+            due.push_back(record.about);
+        }
+    }
+    for (const member& target : due)
+    {
+        start_probe(target);
+    }
+}
+
+void swim_membership::advance_probes()
+{
+    std::vector<instance_id> ended;
+    std::vector<unanswered_probe> unanswered;
+    for (auto& [id, running] : probes_)
+    {
+        const member_record* held = table_.find(id);
+        if (held == nullptr || !counts_as_alive(*held) || now_ >= running.end)
+        {
+            ended.push_back(id);
+        }
+        else if (!running.indirect_sent && now_ >= running.indirect_at)
+        {
+            running.indirect_sent = true;
+            unanswered.push_back({held->about, running.final_probe});
+        }
+    }
+    for (const unanswered_probe& one : unanswered)
+    {
+        const std::size_t helpers = settings_.indirect_probes;
+        send_indirect(one.target, one.is_final ? 2 * helpers : helpers);
+        if (one.is_final)
+        {
+            send_ping(one.target);
+        }
+    }
+    for (const instance_id& id : ended)
+    {
+        end_probe(id);
+    }
+}
+
+void swim_membership::end_probe(const instance_id& id)
+{
+    const auto running = probes_.find(id);
+    if (running == probes_.end())
+    {
+        return;
+    }
+    const bool final_probe = running->second.final_probe;
+    probes_.erase(running);
+    next_doubt_.erase(id);
+    if (final_probe)
+    {
+        table_.declare_dead(now_, id);
+    }
+    else
+    {
+        table_.suspect(now_, id);
+        next_doubt_[id] = now_ + settings_.probe_interval / 2;
+    }
+}
+
+void swim_membership::start_probe(const member& target)
+{
+    const member_record* held = table_.find(target.id);
+    probe fresh;
+    fresh.indirect_at = now_ + settings_.probe_timeout;
+    fresh.end =
+        now_ + std::max(settings_.probe_interval, settings_.probe_timeout * 2);
+    fresh.final_probe = held != nullptr &&
+                        held->status == member_status::suspected &&
+                        held->suspicion_end <= now_;
+    if (probes_.emplace(target.id, fresh).second)
+    {
+        send_ping(target);
+    }
+}
+
+void swim_membership::send_ping(const member& target)
+{
+    const ping_message message = message_to(target.id, target.incarnation);
+    auto on_reply = [this, id = target.id](result<std::string> reply)
+    {
+        if (reply)
+        {
+            on_ping_reply(id, *reply);
+        }
+    };
+    peers_.call(
+        {target.address, ping_method, encode(message), settings_.probe_timeout},
+        guarded(std::move(on_reply)));
+}
+
+void swim_membership::send_indirect(const member& target, std::size_t helpers)
+{
+    for (const member& helper : random_alive(helpers, target.id))
+    {
+        probe_request message;
+        message.ping = message_to(helper.id, helper.incarnation);
+        message.target = target.id;
+        message.target_address = target.address;
+        auto on_reply = [this, id = target.id](result<std::string> reply)
+        {
+            if (reply)
+            {
+                on_ping_reply(id, *reply);
+            }
+        };
+        peers_.call(
+            {helper.address,
+             probe_method,
+             encode(message),
+             settings_.probe_timeout * 2},
+            guarded(std::move(on_reply)));
+    }
+}
+
+void swim_membership::on_ping_reply(
+    const instance_id& target, const std::string& body)
+{
+    const auto reply = decode_ping(body);
+    if (!reply)
+    {
+        return;
+    }
+    if (reply->from == target)
+    {
+        probes_.erase(target);
+        next_doubt_.erase(target);
+    }
+    absorb(*reply);
+}
+
+/// Pings a member for another one that got no answer from it.
+void swim_membership::relay_probe(
+    const probe_request& asked, completion<std::string> done)
+{
+    const member_record* held = table_.find(asked.target);
+    const std::uint64_t incarnation =
+        held == nullptr ? 0 : held->about.incarnation;
+    const ping_message message = message_to(asked.target, incarnation);
+    auto on_reply = [this,
+                     weak = std::weak_ptr<char>(token_),
+                     id = asked.target,
+                     done = std::move(done)](result<std::string> reply)
+    {
+        if (reply && !weak.expired())
+        {
+            on_ping_reply(id, *reply);
+        }
+        done(std::move(reply));
+    };
+    peers_.call(
+        {asked.target_address,
+         ping_method,
+         encode(message),
+         settings_.probe_timeout},
+        std::move(on_reply));
+}
+
+/// The next member of the shuffled round; null where there is none.
+const member* swim_membership::next_in_round()
+{
+    for (int attempt = 0; attempt < 2; ++attempt)
+    {
+        while (!round_.empty())
+        {
+            const member_record* held = table_.find(round_.back());
+            round_.pop_back();
+            if (held != nullptr && counts_as_alive(*held))
+            {
+                return &held->about;
+            }
+        }
+        for (const auto& [id, record] : table_.others())
+        {
+            if (counts_as_alive(record))
+            {
+                round_.push_back(id);
+            }
+        }
+        std::shuffle(round_.begin(), round_.end(), random_);
+    }
+    return nullptr;
+}
+
+} // namespace acaciastile::impl
