--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run test build install
+.PHONY: run test build install policy-bench
 
 # Installs what is missing, builds, and runs the main job on the embedded
 # platform.
@@ -15,3 +15,9 @@
 
 install:
 	scripts/install
+
+# Measures the decisions: cost at the letter's size, outcomes side by side.
+policy-bench: build
+	mkdir -p out
+	build/release/bench/policy_cost
+	build/release/bench/policy_outcomes
--- /dev/null
+++ b/bench/support/policy_replay.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "policy/scheduler.hpp"
+#include "support/policy_outcome.hpp"
+#include "support/policy_workload.hpp"
+
+namespace acaciastile::bench
+{
+
+/// Steps a workload through one scheduler at a tick of 100 ms and measures
+/// the outcome. Models no network and no cell: a placed task starts at once.
+[[nodiscard]] outcome replay(const workload& work, scheduler& deciding);
+
+} // namespace acaciastile::bench
--- a/src/policy/fair_scheduler.cpp
+++ b/src/policy/fair_scheduler.cpp
@@ -207,7 +207,9 @@
     job.waiting.erase(index);
     job.running.emplace(index, impl::running_task{worker, now_});
     made.placements.push_back(
-        {{job.request.job, index}, workers_.at(worker).entry.id});
+        {{job.request.job, index},
+         workers_.at(worker).entry.id,
+         job.request.each});
 }
 
 bool fair_scheduler::place_gang(job_slot slot, decisions& made)
--- a/src/policy/job_request.hpp
+++ b/src/policy/job_request.hpp
@@ -24,6 +24,7 @@
     resources each;
     milliseconds run_time{0};
     instant queued_at{};
+    bool repeatable = true; ///< Where false, never tried on a suspect worker.
     std::vector<std::uint32_t> waiting; ///< Indexes of the waiting tasks.
 };
 
--- a/src/policy/scheduler.hpp
+++ b/src/policy/scheduler.hpp
@@ -26,6 +26,9 @@
 {
     task_id task;
     worker_id worker;
+    /// What the start command asks the worker to hold for it: at most what
+    /// was declared. Below it only in queues that allow oversubscription.
+    resources granted;
 };
 
 /// Checkpoint this running task to make room.
@@ -46,6 +49,7 @@
 {
     bool succeeded = true;
     bool workers_fault = false; ///< The worker failed or refused it.
+    bool stopped = false; ///< By command or lapse; tells nothing of either.
     milliseconds ran{0};
     resources peak_usage;
 };
