--- a/src/cell/stream_reader.cpp
+++ b/src/cell/stream_reader.cpp
@@ -41,7 +41,7 @@
         expiry_handler on_expired)
         : log_(log),
           stream_(std::move(stream)),
-          settings_(settings),
+          settings_(std::move(settings)),
           on_entry_(std::move(on_entry)),
           on_expired_(std::move(on_expired)),
           next_(from)
@@ -175,7 +175,7 @@
         at_head_ = next_ >= head;
         if (at_head_)
         {
-            last_contact_ = sent_at_;
+            last_contact_ = std::max(last_contact_, sent_at_ - answer_age());
         }
         else
         {
@@ -183,6 +183,11 @@
         }
     }
 
+    [[nodiscard]] milliseconds answer_age() const
+    {
+        return settings_.answer_age ? settings_.answer_age() : milliseconds{0};
+    }
+
     log_service& log_;
     stream_name stream_;
     stream_reader_settings settings_;
@@ -214,7 +219,7 @@
         log,
         std::move(stream),
         from,
-        settings,
+        std::move(settings),
         std::move(on_entry),
         std::move(on_expired));
 }
--- a/src/cell/stream_reader.hpp
+++ b/src/cell/stream_reader.hpp
@@ -16,6 +16,9 @@
     milliseconds retry_interval{500}; ///< After a failed read.
     milliseconds read_timeout{5'000}; ///< A read without answer is dropped.
     std::size_t page_bytes = 256 * 1024;
+    /// How old an answer was when it came, beyond its own call: for a log
+    /// that may answer out of another process's memory. Empty: never old.
+    std::function<milliseconds()> answer_age;
 };
 
 /// Follows one stream from an offset on and hands out its entries in order,
@@ -47,8 +50,9 @@
     [[nodiscard]] virtual log_offset next() const noexcept = 0;
     /// True where the last answered read reached the head.
     [[nodiscard]] virtual bool at_head() const noexcept = 0;
-    /// Start of the last read that reached the head; nothing is known of the
-    /// log after that instant. `instant::min()` where there was none.
+    /// Start of the last read that reached the head, less the age of its
+    /// answer; nothing is known of the log after that instant.
+    /// `instant::min()` where there was none.
     [[nodiscard]] virtual instant last_contact() const noexcept = 0;
     /// True where the last read failed or timed out.
     [[nodiscard]] virtual bool failing() const noexcept = 0;
