--- a/src/cell/member_message.cpp
+++ b/src/cell/member_message.cpp
@@ -116,7 +116,7 @@
     array_reader in(list);
     member_update update;
     const std::uint64_t status = in.number();
-    if (status > static_cast<std::uint64_t>(member_status::unknown))
+    if (status > static_cast<std::uint64_t>(member_status::denied))
     {
         in.fail();
     }
--- a/src/cell/member_message.hpp
+++ b/src/cell/member_message.hpp
@@ -21,8 +21,9 @@
     alive,
     suspected,
     dead,
-    left,   ///< Went away by itself.
-    unknown ///< Never heard of; only ever said to the member itself.
+    left,    ///< Went away by itself.
+    unknown, ///< Never heard of; only ever said to the member itself.
+    denied   ///< Alive after all; as `alive`, but without the address.
 };
 
 /// News of one member. Data centre and address are sent only where the
--- a/src/cell/member_table.cpp
+++ b/src/cell/member_table.cpp
@@ -57,6 +57,10 @@
     {
         return apply_to_self(update);
     }
+    if (update.status == member_status::denied && update.about.id != self_.id)
+    {
+        return apply_denial(now, update, use);
+    }
     const bool no_address =
         update.status == member_status::alive && update.about.address.empty();
     if (update.status == member_status::unknown || no_address)
@@ -96,11 +100,33 @@
     return true;
 }
 
+/// A denial tells no address: it counts for a member whose address is held.
+bool member_table::apply_denial(
+    instant now, const member_update& update, news_use use)
+{
+    const auto found = others_.find(update.about.id);
+    if (found == others_.end() || found->second.about.address.empty() ||
+        update.about.incarnation <= found->second.about.incarnation)
+    {
+        return false;
+    }
+    found->second.about.incarnation = update.about.incarnation;
+    change(now, found->second, member_status::alive);
+    if (use == news_use::pass)
+    {
+        pass_on(update);
+    }
+    return true;
+}
+
 bool member_table::apply_to_self(const member_update& update)
 {
-    const bool own_state = update.status == member_status::alive &&
+    const bool elsewhere = update.status == member_status::alive &&
+                           update.about.address != self_.address;
+    const bool own_state = (update.status == member_status::alive ||
+                            update.status == member_status::denied) &&
                            update.about.incarnation == self_.incarnation &&
-                           update.about.address == self_.address;
+                           !elsewhere;
     const bool outdated = update.about.incarnation < self_.incarnation;
     if (leaving_ || outdated || own_state ||
         update.status == member_status::unknown)
@@ -108,7 +134,7 @@
         return false;
     }
     self_.incarnation = update.about.incarnation + 1;
-    announce_self();
+    pass_on({elsewhere ? member_status::alive : member_status::denied, self_});
     return true;
 }
 
@@ -285,10 +311,15 @@
     {
         record.since = now;
     }
+    if (record.status == member_status::suspected)
+    {
+        --suspected_count_;
+    }
     record.status = status;
     if (status == member_status::suspected)
     {
         record.suspicion_end = now + suspicion_;
+        ++suspected_count_;
         tell(event_number::member_suspected, record.about);
     }
     if (is_alive && !was_alive)
--- a/src/cell/member_table.hpp
+++ b/src/cell/member_table.hpp
@@ -61,6 +61,11 @@
         return alive_count_;
     }
 
+    [[nodiscard]] std::size_t suspected_count() const noexcept
+    {
+        return suspected_count_;
+    }
+
     /// Takes one piece of news in; a false one about itself is refuted.
     /// True where it changed anything.
     bool apply(
@@ -85,14 +90,17 @@
     void restart_suspicions(instant now);
     /// Drops members that are dead for longer than that.
     void forget_dead(instant now, milliseconds after);
-    /// Passes its own presence on again.
-    void announce_self();
 
     /// What this instance holds of that member, to be told to it, where that
     /// is not simply alive with the given incarnation.
     [[nodiscard]] std::vector<member_update>
     correction_for(const instance_id& id, std::uint64_t incarnation) const;
 
+    /// How many members there is news of.
+    [[nodiscard]] std::size_t news_count() const noexcept
+    {
+        return news_.size();
+    }
     /// News to add to a message, the least often sent first.
     [[nodiscard]] std::vector<member_update> take_news(std::size_t most);
 
@@ -111,7 +119,9 @@
     };
 
     bool apply_to_self(const member_update& update);
+    bool apply_denial(instant now, const member_update& update, news_use use);
     void change(instant now, member_record& record, member_status status);
+    void announce_self();
     void pass_on(const member_update& update);
     void tell(event_number number, const member& about);
     [[nodiscard]] std::uint32_t transmissions() const noexcept;
@@ -122,6 +132,7 @@
     std::map<instance_id, member_record> others_;
     std::map<instance_id, queued_news> news_;
     std::size_t alive_count_ = 1;
+    std::size_t suspected_count_ = 0;
     bool joining_ = true;
     bool leaving_ = false;
 };
--- a/src/cell/membership.hpp
+++ b/src/cell/membership.hpp
@@ -32,6 +32,7 @@
     milliseconds suspicion{3'000}; ///< From suspected to dead.
     std::uint32_t indirect_probes = 2;
     std::uint32_t updates_in_message = 8; ///< Bound of what is passed on.
+    std::uint32_t updates_in_burst = 24;  ///< The bound with more waiting.
     milliseconds contact_interval{2'000}; ///< Tries of dead or new instances.
     milliseconds sync_interval{10'000};   ///< Comparisons of whole lists.
     std::uint32_t sync_entries = 16;      ///< Bound of one page of a list.
--- a/src/cell/swim_membership.cpp
+++ b/src/cell/swim_membership.cpp
@@ -131,7 +131,10 @@
     message.incarnation = table_.self().incarnation;
     message.offset = offset_;
     message.updates = table_.correction_for(to, incarnation);
-    for (member_update& update : table_.take_news(settings_.updates_in_message))
+    const bool burst = table_.news_count() > settings_.updates_in_message;
+    const std::size_t most =
+        burst ? settings_.updates_in_burst : settings_.updates_in_message;
+    for (member_update& update : table_.take_news(most))
     {
         message.updates.push_back(std::move(update));
     }
--- a/src/cell/swim_membership.hpp
+++ b/src/cell/swim_membership.hpp
@@ -93,7 +93,7 @@
         list_walk walk,
         bool has_page);
     [[nodiscard]] std::string answer_sync(const sync_request& asked);
-    void absorb_page(const std::vector<member_update>& updates);
+    bool absorb_page(const std::vector<member_update>& updates);
 
     [[nodiscard]] ping_message
     message_to(const instance_id& to, std::uint64_t incarnation);
--- a/src/cell/swim_probes.cpp
+++ b/src/cell/swim_probes.cpp
@@ -38,7 +38,7 @@
 /// suspected first goes on asking until then, so that it can be denied.
 void swim_membership::check_suspicions()
 {
-    if (now_ < next_check_)
+    if (now_ < next_check_ || table_.suspected_count() == 0)
     {
         return;
     }
--- a/src/cell/swim_sync.cpp
+++ b/src/cell/swim_sync.cpp
@@ -1,7 +1,8 @@
 #include "cell/swim_membership.hpp"
 
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
-#include <set>
+#include <string_view>
 #include <utility>
 
 namespace acaciastile::impl
@@ -134,7 +135,7 @@
     heard_offset(reply->offset, reply->self.address);
     table_.apply(now_, {member_status::alive, reply->self});
     table_.joined(reply->updates);
-    absorb_page(reply->updates);
+    const bool changed = absorb_page(reply->updates);
     if (walk == list_walk::whole_list && !reply->cursor.empty())
     {
         send_sync(address, make_sync(reply->cursor), walk);
@@ -142,6 +143,9 @@
     else if (has_page)
     {
         sync_cursor_ = reply->cursor;
+        const milliseconds wait =
+            changed ? settings_.probe_interval : settings_.sync_interval;
+        next_sync_ = std::min(next_sync_, now_ + wait);
     }
 }
 
@@ -177,8 +181,10 @@
 
 /// A member that another list holds dead and this one alive is suspected
 /// first, so that it can deny it: after a cut each side holds the other dead.
-void swim_membership::absorb_page(const std::vector<member_update>& updates)
+/// True where the page told anything new.
+bool swim_membership::absorb_page(const std::vector<member_update>& updates)
 {
+    bool changed = false;
     for (const member_update& update : updates)
     {
         const member_record* held = table_.find(update.about.id);
@@ -191,14 +197,15 @@
             table_.suspect(now_, update.about.id);
             continue;
         }
-        table_.apply(now_, update, news_use::keep);
+        changed |= table_.apply(now_, update, news_use::keep);
     }
+    return changed;
 }
 
 std::vector<swim_membership::missing_instance> swim_membership::missing() const
 {
-    std::set<std::string> present;
-    std::set<std::string> listed;
+    absl::flat_hash_set<std::string_view> present;
+    absl::flat_hash_set<std::string_view> listed;
     std::vector<missing_instance> found;
     for (const vm_entry& vm : seeds_)
     {
--- a/tests/cell/membership_test.cpp
+++ b/tests/cell/membership_test.cpp
@@ -1,7 +1,7 @@
 #include "cell/membership.hpp"
 
 #include "cell/member_message.hpp"
-#include "support/member_network.hpp"
+#include "support/fakes/member_network.hpp"
 
 #include <catch2/catch.hpp>
 
