--- a/src/cell/allowance_planner.hpp
+++ b/src/cell/allowance_planner.hpp
@@ -2,8 +2,10 @@
 
 #include "cell/cell_state.hpp"
 #include "domain/instant.hpp"
+#include "domain/verdict.hpp"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace acaciastile
@@ -14,6 +16,7 @@
 {
     resources running; ///< Placed, or possibly still running.
     resources demand;  ///< Waiting.
+    resources largest; ///< Largest waiting task; zero where not known.
 };
 
 /// What to do about the allowances of one shard.
@@ -21,9 +24,12 @@
 {
     /// The bound that the scheduler has to keep from now on, for each team.
     /// Never above what the log allows, and already cut where a cut is about
-    /// to be written.
+    /// to be written. A team that is not named may start nothing.
     std::map<team_name, resources> bounds;
     /// Records to write; a cut only where `running` is within it already.
+    /// Each is written under one record id until it is read back, and its end
+    /// is told by `settled`: two records of one team in flight could arrive
+    /// in the wrong order, so the planner returns no second one before.
     std::vector<cell_change> records;
     /// Teams that run more than their bound, with the excess: tasks to
     /// checkpoint or stop, after the grace.
@@ -35,9 +41,15 @@
     milliseconds idle_after{1'000};    ///< Unused this long may be cut.
     milliseconds lowered_grace{5'000}; ///< Before running work is stopped.
     double headroom = 0.25; ///< Raised beyond the demand by this part.
+    milliseconds wish_patience{2'000};  ///< Until a wish is written again.
+    milliseconds reserve_after{10'000}; ///< Unused, where room is short.
+    milliseconds turn{10'000};          ///< One task's worth is held that long.
+    milliseconds yield{2'000};          ///< After a turn, until the next raise.
 };
 
-/// Splits each team's upper limit over the shards. Decides for one shard.
+/// Splits each team's upper limit over the shards. Decides for one shard and
+/// one epoch of it; a new epoch starts with a new planner and inherits the
+/// shard's allowances from the log.
 class allowance_planner
 {
 public:
@@ -48,6 +60,88 @@
         instant now,
         const cell_state& cell,
         const std::map<team_name, team_load>& loads);
+
+    /// Tells what became of a record that `plan` returned: `ran` where the
+    /// fold read it, accepted or not, `not_run` where it is proven never to
+    /// reach the log. With `may_have_run` the record counts as still under
+    /// way: a cut then binds until the fold shows it. To be called for each
+    /// record, else a refused raise blocks its team on this shard.
+    void settled(const cell_change& record, verdict effect);
+
+private:
+    /// A record that was handed out and not yet seen in the log.
+    struct pending_change
+    {
+        resources amount;
+        instant since{};
+    };
+
+    struct team_plan
+    {
+        std::optional<pending_change> cut;
+        std::optional<pending_change> raise;
+        std::optional<pending_change> wish;
+        std::optional<instant> idle_since;
+        std::optional<instant> satisfied_since;
+        std::optional<instant> contended_since;
+        std::optional<instant> over_since; ///< Of a lowered limit.
+        std::optional<instant> target_since;
+        revision target_revision = 0;
+        resources over_target;
+        instant yield_until = instant::min();
+    };
+
+    /// One team in one round.
+    struct team_round
+    {
+        instant now{};
+        team_name team;
+        revision rules_revision = 0;
+        team_load load;
+        resources limit;
+        resources held;   ///< Allowance of this shard in the log.
+        resources sum;    ///< Of all shards.
+        resources others; ///< What the other shards want.
+        resources room;   ///< Of the limit, beyond all allowances.
+        resources wished; ///< This shard's wish in the log.
+        resources need;   ///< Running and waiting, within the limit.
+        bool contended = false;
+    };
+
+    [[nodiscard]] team_round make_round(
+        instant now,
+        const cell_state& cell,
+        const team_name& team,
+        const team_load& load) const;
+    void resolve_pending(const team_round& round, team_plan& state) const;
+    void
+    plan_team(const team_round& round, team_plan& state, allowance_plan& made);
+    void follow_lowered_limit(
+        const team_round& round, team_plan& state, allowance_plan& made);
+    void
+    give_back(const team_round& round, team_plan& state, allowance_plan& made);
+    void share_when_busy(
+        const team_round& round, team_plan& state, allowance_plan& made);
+    void ask_for_more(
+        const team_round& round, team_plan& state, allowance_plan& made);
+    void wish(const team_round& round, team_plan& state, allowance_plan& made);
+
+    void set_over_target(const team_round& round, team_plan& state) const;
+    [[nodiscard]] milliseconds
+    idle_wait(const team_round& round, const resources& surplus) const;
+    [[nodiscard]] resources fair_amount(const team_round& round) const;
+    [[nodiscard]] resources raised_amount(const team_round& round) const;
+    [[nodiscard]] resources with_headroom(const resources& need) const;
+    void
+    cut(const team_round& round,
+        team_plan& state,
+        const resources& amount,
+        allowance_plan& made) const;
+
+    shard_id shard_;
+    shard_epoch epoch_ = 0;
+    allowance_settings settings_;
+    std::map<team_name, team_plan> teams_;
 };
 
 } // namespace acaciastile
--- /dev/null
+++ b/src/cell/resource_split.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "domain/resources.hpp"
+
+namespace acaciastile::impl
+{
+
+/// Left less right, each kind at least zero.
+[[nodiscard]] resources
+excess_over(const resources& left, const resources& right) noexcept;
+
+/// Each kind times the factor, rounded down.
+[[nodiscard]] resources scaled(const resources& amount, double factor) noexcept;
+
+/// Each kind times its own `part / whole`, rounded down; unchanged where the
+/// whole is not above the part.
+[[nodiscard]] resources cut_to_part(
+    const resources& amount,
+    const resources& part,
+    const resources& whole) noexcept;
+
+/// Each kind of the limit times `part / whole`; the limit where the whole is
+/// zero.
+[[nodiscard]] resources fair_part(
+    const resources& limit,
+    const resources& part,
+    const resources& whole) noexcept;
+
+/// The largest factor of at most one for which `amount` times it fits in
+/// `room`; kinds that are zero in `amount` do not count.
+[[nodiscard]] double
+fitting_factor(const resources& amount, const resources& room) noexcept;
+
+/// Kinds of `amount` where `mask` is above zero, the others zero.
+[[nodiscard]] resources
+masked(const resources& amount, const resources& mask) noexcept;
+
+/// True where any kind of left is above that of right.
+[[nodiscard]] inline bool
+any_above(const resources& left, const resources& right) noexcept
+{
+    return !left.fits_in(right);
+}
+
+} // namespace acaciastile::impl
