--- a/src/platform/embedded/embedded_vm_list.cpp
+++ b/src/platform/embedded/embedded_vm_list.cpp
@@ -73,33 +73,40 @@
     versions_.emplace_back(now, std::move(entries));
 }
 
-embedded_vm_list_view::embedded_vm_list_view(
-    embedded_vm_list& list, std::string caller)
-    : list_(list), caller_(std::move(caller)), alive_(std::make_shared<int>())
-{
-}
-
-void embedded_vm_list_view::fetch(completion<std::vector<vm_entry>> done)
+void embedded_vm_list::fetch_as(
+    const std::string& caller,
+    completion<std::vector<vm_entry>> done,
+    std::weak_ptr<void> alive)
 {
     embedded_route route{
-        caller_,
-        embedded_vm_list::endpoint,
+        caller,
+        endpoint,
         refusal_code::unreachable,
         milliseconds{0},
-        alive_};
-    auto serve =
-        [&list = list_](const embedded_reply<std::vector<vm_entry>>& reply)
+        std::move(alive)};
+    auto serve = [this](const embedded_reply<std::vector<vm_entry>>& reply)
     {
-        if (list.down())
+        if (down_)
         {
             reply.answer(
                 refuse(refusal_code::unreachable, "the VM list is down"));
             return;
         }
-        reply.answer(list.shown());
+        reply.answer(shown());
     };
     exchange<std::vector<vm_entry>>(
-        list_.network(), std::move(route), serve, std::move(done));
+        network_, std::move(route), std::move(serve), std::move(done));
+}
+
+embedded_vm_list_view::embedded_vm_list_view(
+    embedded_vm_list& list, std::string caller)
+    : list_(list), caller_(std::move(caller)), alive_(std::make_shared<int>())
+{
+}
+
+void embedded_vm_list_view::fetch(completion<std::vector<vm_entry>> done)
+{
+    list_.fetch_as(caller_, std::move(done), alive_);
 }
 
 } // namespace acaciastile
--- a/src/platform/embedded/embedded_vm_list.hpp
+++ b/src/platform/embedded/embedded_vm_list.hpp
@@ -36,8 +36,10 @@
     /// The list as callers get it now.
     [[nodiscard]] std::vector<vm_entry> shown();
 
-    [[nodiscard]] embedded_network& network() noexcept { return network_; }
-    [[nodiscard]] bool down() const noexcept { return down_; }
+    void fetch_as(
+        const std::string& caller,
+        completion<std::vector<vm_entry>> done,
+        std::weak_ptr<void> alive);
 
 private:
     [[nodiscard]] std::vector<vm_entry> latest() const;
