--- a/src/platform/embedded/apply_fault.cpp
+++ b/src/platform/embedded/apply_fault.cpp
@@ -19,6 +19,11 @@
     to.log.fail_reads(command.on);
 }
 
+void apply(stand_in_platform& to, const fault::log_append_time& command)
+{
+    to.log.set_append_time(command.each);
+}
+
 void apply(stand_in_platform& to, const fault::log_refuse_appends& command)
 {
     to.log.refuse_appends(command.count);
--- a/src/platform/embedded/embedded_log.cpp
+++ b/src/platform/embedded/embedded_log.cpp
@@ -96,7 +96,7 @@
 {
     auto serve = [this, stream, bodies = std::move(bodies)](
                      const embedded_reply<append_receipt>& reply)
-    { serve_append(stream, bodies, reply); };
+    { queue_append(stream, bodies, reply); };
     exchange<append_receipt>(
         network_, std::move(route), std::move(serve), std::move(done));
 }
@@ -115,6 +115,24 @@
         network_, std::move(route), std::move(serve), std::move(done));
 }
 
+void embedded_log::queue_append(
+    const stream_name& name,
+    std::vector<std::string> bodies,
+    const embedded_reply<append_receipt>& reply)
+{
+    if (append_time_ == milliseconds{0})
+    {
+        serve_append(name, std::move(bodies), reply);
+        return;
+    }
+    const instant now = network_.now();
+    free_at_ = std::max(free_at_, now) + append_time_;
+    network_.timers().after(
+        free_at_ - now,
+        [this, name, bodies = std::move(bodies), reply]() mutable
+        { serve_append(name, std::move(bodies), reply); });
+}
+
 void embedded_log::serve_append(
     const stream_name& name,
     std::vector<std::string> bodies,
--- a/src/platform/embedded/embedded_log.hpp
+++ b/src/platform/embedded/embedded_log.hpp
@@ -66,8 +66,11 @@
 
     /// While down, every call fails with `log_unavailable`, `not_run`.
     void set_down(bool down) noexcept { down_ = down; }
-    /// Adds to the time until each answer, for all callers.
+    /// Adds to the time of each call and again to that of each answer.
     void set_slow(milliseconds extra) { network_.slow(endpoint, extra); }
+    /// How long the log works on one append, one after the other; zero: no
+    /// time. It bounds the appends a second, over all callers.
+    void set_append_time(milliseconds each) noexcept { append_time_ = each; }
     /// Fails all reads with `log_unavailable`.
     void fail_reads(bool failing) noexcept { reads_fail_ = failing; }
     /// Refuses the next appends with `log_unavailable`, `not_run`.
@@ -116,6 +119,10 @@
         log_offset head = 1;
     };
 
+    void queue_append(
+        const stream_name& name,
+        std::vector<std::string> bodies,
+        const embedded_reply<append_receipt>& reply);
     void serve_append(
         const stream_name& name,
         std::vector<std::string> bodies,
@@ -130,6 +137,8 @@
     embedded_log_settings settings_;
     std::mt19937_64 random_;
     std::map<stream_name, stream> streams_;
+    milliseconds append_time_{0};
+    instant free_at_{};
     bool down_ = false;
     bool reads_fail_ = false;
     std::size_t refuse_ = 0;
--- a/src/platform/embedded/embedded_network.cpp
+++ b/src/platform/embedded/embedded_network.cpp
@@ -77,7 +77,7 @@
     }
     auto names_of = [this](const std::string& endpoint)
     {
-        std::vector<std::string> names{endpoint};
+        std::vector<std::string> names{endpoint, everyone};
         auto group = groups_.find(endpoint);
         if (group != groups_.end())
         {
--- a/src/platform/embedded/embedded_network.hpp
+++ b/src/platform/embedded/embedded_network.hpp
@@ -53,6 +53,9 @@
     /// Makes an endpoint part of a group, which can be cut as a whole.
     void join(const std::string& endpoint, const std::string& group);
 
+    /// Stands for every endpoint in a cut.
+    static constexpr const char* everyone = "*";
+
     /// Cuts two endpoints or groups off from each other, both ways.
     void
     cut(const std::string& left,
--- a/src/platform/embedded/fault_command.hpp
+++ b/src/platform/embedded/fault_command.hpp
@@ -16,7 +16,8 @@
 struct stand_in_platform;
 
 /// The faults that the stand-ins can be told to have. Names of endpoints are
-/// `log`, `vm-list`, a worker's id, an instance's name, or a group of them.
+/// `log`, `vm-list`, a worker's id or an instance's name; in a cut also a group
+/// of them or `*` for everyone.
 namespace fault
 {
 
@@ -28,6 +29,10 @@
 {
     bool on = true;
 };
+struct log_append_time
+{
+    milliseconds each{0}; ///< Zero: no bound.
+};
 struct log_refuse_appends
 {
     std::uint64_t count = 1;
@@ -133,6 +138,7 @@
 using fault_command = std::variant<
     fault::log_down,
     fault::log_reads_fail,
+    fault::log_append_time,
     fault::log_refuse_appends,
     fault::log_lose_answers,
     fault::log_retention,
--- a/src/platform/embedded/fault_parser.cpp
+++ b/src/platform/embedded/fault_parser.cpp
@@ -42,6 +42,11 @@
     in.optional("on", made.on);
 }
 
+void read(field_reader& in, fault::log_append_time& made)
+{
+    in.require("each_ms", made.each);
+}
+
 void read(field_reader& in, fault::log_refuse_appends& made)
 {
     in.optional("count", made.count);
@@ -196,6 +201,7 @@
 constexpr auto fault_kinds = std::to_array<fault_kind>({
     {"log_down", parse_as<fault::log_down>},
     {"log_reads_fail", parse_as<fault::log_reads_fail>},
+    {"log_append_time", parse_as<fault::log_append_time>},
     {"log_refuse_appends", parse_as<fault::log_refuse_appends>},
     {"log_lose_answers", parse_as<fault::log_lose_answers>},
     {"log_retention", parse_as<fault::log_retention>},
--- a/tests/platform/embedded_log_test.cpp
+++ b/tests/platform/embedded_log_test.cpp
@@ -189,6 +189,21 @@
     CHECK(at.log.kept(at.stream).size() == 1);
 }
 
+TEST_CASE("the log takes a bounded number of appends a second", "[log]")
+{
+    log_fixture at;
+    at.log.set_append_time(milliseconds{4});
+    std::vector<kept_answer<append_receipt>> answers(500);
+    for (auto& answer : answers)
+    {
+        at.first.append(at.stream, {"a"}, answer.keep());
+    }
+    at.run(milliseconds{1'000});
+    CHECK(at.log.counts().appends == 249);
+    at.run(milliseconds{10'000});
+    CHECK(answers.back().value().first == 500);
+}
+
 TEST_CASE("an answer to an ended caller is dropped", "[log]")
 {
     log_fixture at;
--- a/tests/platform/embedded_network_test.cpp
+++ b/tests/platform/embedded_network_test.cpp
@@ -83,6 +83,15 @@
     CHECK(at.call().succeeded());
 }
 
+TEST_CASE("an endpoint is cut off from everyone", "[peers]")
+{
+    peers_fixture at;
+    at.network.cut("entry-2", embedded_network::everyone);
+    CHECK(at.call().failed(refusal_code::unreachable, verdict::not_run));
+    at.network.heal(embedded_network::everyone, "entry-2");
+    CHECK(at.call().succeeded());
+}
+
 TEST_CASE("a cut while the answer travels leaves it unknown", "[peers]")
 {
     peers_fixture at;
--- a/tests/platform/fault_command_test.cpp
+++ b/tests/platform/fault_command_test.cpp
@@ -13,6 +13,7 @@
 const std::vector<std::string> commands{
     R"({"fault": "log_down"})",
     R"({"fault": "log_reads_fail", "on": false})",
+    R"({"fault": "log_append_time", "each_ms": 3})",
     R"({"fault": "log_refuse_appends", "count": 2})",
     R"({"fault": "log_lose_answers", "count": 1, "manner": "never"})",
     R"({"fault": "log_retention", "entries": 5, "age_ms": 1000})",
--- a/tests/platform/http_client_test.cpp
+++ b/tests/platform/http_client_test.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <mutex>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -39,6 +40,39 @@
     return impl::listen_socket::create(any_port)->address();
 }
 
+/// Keeps the calls of a server without an answer until told.
+class held_answers
+{
+public:
+    [[nodiscard]] http_handler handler()
+    {
+        return [this](const http_call&, const http_answer& answer)
+        {
+            const std::lock_guard lock(mutex_);
+            held_.push_back(answer);
+        };
+    }
+
+    [[nodiscard]] std::size_t count()
+    {
+        const std::lock_guard lock(mutex_);
+        return held_.size();
+    }
+
+    void answer_all(const std::string& body)
+    {
+        const std::lock_guard lock(mutex_);
+        for (const http_answer& answer : held_)
+        {
+            answer({200, body});
+        }
+    }
+
+private:
+    std::mutex mutex_;
+    std::vector<http_answer> held_;
+};
+
 struct client_fixture
 {
     waiting_executor control;
@@ -124,28 +158,20 @@
 
 TEST_CASE("no answer in time may have run", "[http]")
 {
-    std::vector<http_answer> held;
-    const auto server =
-        serve([&held](const http_call&, const http_answer& answer)
-              { held.push_back(answer); });
+    held_answers held;
+    const auto server = serve(held.handler());
     client_fixture at;
     CHECK(at.post(server->address(), milliseconds{200})
               .failed(refusal_code::unreachable, verdict::may_have_run));
-    REQUIRE(held.size() == 1);
-    held.front()({200, ""});
+    CHECK(held.count() == 1);
+    held.answer_all("");
     server->stop();
 }
 
 TEST_CASE("a silent host holds up no other", "[http]")
 {
-    std::mutex mutex;
-    std::vector<http_answer> held;
-    const auto silent = serve(
-        [&](const http_call&, const http_answer& answer)
-        {
-            const std::lock_guard lock(mutex);
-            held.push_back(answer);
-        });
+    held_answers held;
+    const auto silent = serve(held.handler());
     const auto server = serve(echo);
     client_fixture at;
     std::vector<kept_answer<http_reply>> waiting;
@@ -165,12 +191,8 @@
     // nothing that is said not to have run has arrived.
     CHECK(sent >= 4);
     CHECK(sent < waiting.size());
-    const std::lock_guard lock(mutex);
-    CHECK(held.size() <= sent);
-    for (const http_answer& answer : held)
-    {
-        answer({200, ""});
-    }
+    CHECK(held.count() <= sent);
+    held.answer_all("");
 }
 
 TEST_CASE("a kept connection that dies may have run", "[http]")
@@ -227,10 +249,10 @@
 
 TEST_CASE("stopping the client settles every call", "[http]")
 {
-    std::vector<http_answer> held;
-    const auto server =
-        serve([&held](const http_call&, const http_answer& answer)
-              { held.push_back(answer); });
+    held_answers held;
+    http_server_settings settings;
+    settings.answer_bound = milliseconds{500};
+    const auto server = serve(held.handler(), settings);
     client_fixture at;
     const auto answer = at.start(server->address());
     at.client.reset();
@@ -241,24 +263,13 @@
 
 TEST_CASE("a stopping server answers what is in hand", "[http]")
 {
-    std::mutex mutex;
-    std::vector<http_answer> held;
-    const auto server = serve(
-        [&](const http_call&, const http_answer& answer)
-        {
-            const std::lock_guard lock(mutex);
-            held.push_back(answer);
-        });
+    held_answers held;
+    const auto server = serve(held.handler());
     client_fixture at;
     const auto answer = at.start(server->address());
-    auto in_hand = [&]
-    {
-        const std::lock_guard lock(mutex);
-        return !held.empty();
-    };
-    at.control.wait_until(in_hand);
+    at.control.wait_until([&] { return held.count() == 1; });
     std::thread stopping([&] { server->stop(); });
-    held.front()({200, "late"});
+    held.answer_all("late");
     stopping.join();
     at.control.wait_for(answer);
     CHECK(answer.value().body == "late");
