Fair scheduler: indexes in place of scans

Change: workers stand in a grid of free amounts, a team's jobs in queues by size class, teams in an order by share; what found no room is remembered until a worker gains room that may hold it.

--- a/bench/support/policy_baseline.cpp
+++ b/bench/support/policy_baseline.cpp
@@ -35,7 +35,7 @@
 void baseline_scheduler::set_worker_state(
     const worker_id& id, worker_state state)
 {
-    workers_.set_state(id, state);
+    workers_.set_state(workers_.find(id), state);
 }
 
 void baseline_scheduler::remove_worker(const worker_id& id)
@@ -99,7 +99,8 @@
 {
     job_entry& job = jobs_.at(slot);
     job.waiting.erase(index);
-    job.running.emplace(index, impl::running_task{where, {}});
+    job.running.emplace(
+        index, impl::running_task{where, job.request.each, {}, false});
     teams_.at(job.team).demand -= job.request.each;
     teams_.at(job.team).used += job.request.each;
     workers_.hold(where, job.request.each);
--- /dev/null
+++ b/src/policy/decision_state.cpp
@@ -0,0 +1,237 @@
+#include "policy/decision_state.hpp"
+
+namespace acaciastile::impl
+{
+
+decision_state::decision_state(fair_scheduler_settings chosen)
+    : settings(chosen)
+{
+}
+
+void decision_state::set_rules(const rules& changed)
+{
+    bool same_queues = in_force.queues() == changed.queues();
+    in_force = changed;
+    teams.set_shares(in_force);
+    reorder_all();
+    if (same_queues)
+    {
+        return;
+    }
+    for (job_slot slot = 0; slot < jobs.size(); ++slot)
+    {
+        job_entry& job = jobs.at(slot);
+        if (job.is_idle())
+        {
+            continue;
+        }
+        unfile(slot);
+        job.queue = policy_of(in_force, job.request.queue);
+        file(slot);
+    }
+}
+
+void decision_state::set_worker(const worker_entry& entry)
+{
+    gained_room(workers.set(entry));
+    reorder_all();
+}
+
+void decision_state::set_worker_state(const worker_id& id, worker_state state)
+{
+    worker_slot slot = workers.find(id);
+    if (slot != no_slot)
+    {
+        workers.set_state(slot, state);
+        gained_room(slot);
+    }
+}
+
+void decision_state::remove_worker(const worker_id& id)
+{
+    workers.remove(id);
+    reorder_all();
+}
+
+job_slot decision_state::open_job(const job_request& request)
+{
+    job_slot slot = jobs.find(request.job);
+    if (slot != no_slot)
+    {
+        return slot;
+    }
+    slot = jobs.open(request);
+    job_entry& job = jobs.at(slot);
+    job.team = teams.open(request.team);
+    job.queue = policy_of(in_force, request.queue);
+    return slot;
+}
+
+void decision_state::add_waiting(
+    job_slot slot, const std::vector<std::uint32_t>& indexes)
+{
+    job_entry& job = jobs.at(slot);
+    std::int64_t added = 0;
+    for (std::uint32_t index : indexes)
+    {
+        if (!job.running.contains(index) && job.waiting.insert(index).second)
+        {
+            ++added;
+        }
+    }
+    teams.at(job.team).demand += job.request.each * added;
+    file(slot);
+    drop_if_idle(slot);
+}
+
+void decision_state::remove_waiting(job_slot slot, std::uint32_t index)
+{
+    job_entry& job = jobs.at(slot);
+    if (job.waiting.erase(index) == 0)
+    {
+        return;
+    }
+    teams.at(job.team).demand -= job.request.each;
+    if (job.waiting.empty())
+    {
+        file(slot);
+    }
+}
+
+void decision_state::withdraw(job_slot slot)
+{
+    job_entry& job = jobs.at(slot);
+    auto count = static_cast<std::int64_t>(job.waiting.size());
+    teams.at(job.team).demand -= job.request.each * count;
+    job.waiting.clear();
+    file(slot);
+    drop_if_idle(slot);
+}
+
+resources decision_state::charge_of(const job_entry& job) const
+{
+    return job.request.each;
+}
+
+void decision_state::file(job_slot slot)
+{
+    job_entry& job = jobs.at(slot);
+    std::uint16_t size = class_of(charge_of(job)).index();
+    if (job.filed && !job.waiting.empty() && job.filed_class == size)
+    {
+        return;
+    }
+    unfile(slot);
+    if (job.waiting.empty())
+    {
+        return;
+    }
+    auto tier = static_cast<std::size_t>(job.tier());
+    if (waiting[tier].size() <= job.team)
+    {
+        waiting[tier].resize(job.team + 1);
+    }
+    job.filed_class = size;
+    job.filed = true;
+    waiting[tier][job.team].insert(jobs.key_of(slot), size, job.is_gang());
+    reorder(job.team);
+}
+
+void decision_state::unfile(job_slot slot)
+{
+    job_entry& job = jobs.at(slot);
+    if (!job.filed)
+    {
+        return;
+    }
+    job.filed = false;
+    auto tier = static_cast<std::size_t>(job.tier());
+    waiting_jobs& queue = waiting[tier][job.team];
+    queue.erase(jobs.key_of(slot), job.filed_class, job.is_gang());
+    if (queue.empty())
+    {
+        orders[tier].erase(job.team);
+    }
+}
+
+void decision_state::reorder(team_slot team)
+{
+    double share = teams.dominant_share(team, workers.total());
+    for (std::size_t tier = 0; tier < queue_tiers; ++tier)
+    {
+        if (waiting[tier].size() > team && !waiting[tier][team].empty())
+        {
+            orders[tier].set(team, share);
+        }
+    }
+}
+
+void decision_state::reorder_all()
+{
+    for (team_slot team = 0; team < teams.size(); ++team)
+    {
+        reorder(team);
+    }
+}
+
+void decision_state::start(
+    job_slot slot,
+    std::uint32_t index,
+    worker_slot worker,
+    const resources& charged)
+{
+    job_entry& job = jobs.at(slot);
+    bool fresh =
+        job.running
+            .try_emplace(index, running_task{worker, charged, now, false})
+            .second;
+    if (!fresh)
+    {
+        return;
+    }
+    workers.hold(worker, charged);
+    workers.add_task(worker, {slot, index});
+    teams.at(job.team).used += job.request.each;
+    remove_waiting(slot, index);
+    reorder(job.team);
+}
+
+void decision_state::finish(job_slot slot, std::uint32_t index)
+{
+    job_entry& job = jobs.at(slot);
+    auto at = job.running.find(index);
+    worker_slot worker = at->second.worker;
+    workers.release(worker, at->second.charged);
+    workers.remove_task(worker, {slot, index});
+    gained_room(worker);
+    teams.at(job.team).used -= job.request.each;
+    job.running.erase(at);
+    reorder(job.team);
+    drop_if_idle(slot);
+}
+
+void decision_state::gained_room(worker_slot slot)
+{
+    const pool_worker& worker = workers.at(slot);
+    if (worker.is_open() && worker.use == worker_use::common)
+    {
+        without_room.gained(worker.free());
+    }
+}
+
+const waiting_jobs*
+decision_state::waiting_of(queue_tier tier, team_slot team) const
+{
+    const auto& queues = waiting[static_cast<std::size_t>(tier)];
+    return queues.size() <= team ? nullptr : &queues[team];
+}
+
+void decision_state::drop_if_idle(job_slot slot)
+{
+    if (jobs.at(slot).is_idle())
+    {
+        jobs.close(slot);
+    }
+}
+
+} // namespace acaciastile::impl
--- /dev/null
+++ b/src/policy/decision_state.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "policy/fair_scheduler_settings.hpp"
+#include "policy/job_table.hpp"
+#include "policy/room_memory.hpp"
+#include "policy/share_order.hpp"
+#include "policy/team_ledger.hpp"
+#include "policy/waiting_jobs.hpp"
+#include "policy/worker_pool.hpp"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace acaciastile::impl
+{
+
+/// The tables that the decisions read, and the changes that keep them in step
+/// with each other.
+class decision_state
+{
+public:
+    explicit decision_state(fair_scheduler_settings settings);
+
+    void set_rules(const rules& in_force);
+    void set_worker(const worker_entry& entry);
+    void set_worker_state(const worker_id& id, worker_state state);
+    void remove_worker(const worker_id& id);
+
+    /// The job's slot, made where there is none.
+    [[nodiscard]] job_slot open_job(const job_request& request);
+    void add_waiting(job_slot slot, const std::vector<std::uint32_t>& indexes);
+    void remove_waiting(job_slot slot, std::uint32_t index);
+    void withdraw(job_slot slot);
+
+    /// What one task of a job counts for on a worker.
+    [[nodiscard]] resources charge_of(const job_entry& job) const;
+    /// Puts the job into the queue of its present size, or takes it out where
+    /// nothing of it waits.
+    void file(job_slot slot);
+
+    /// Lets a task occupy a worker.
+    void start(
+        job_slot slot,
+        std::uint32_t index,
+        worker_slot worker,
+        const resources& charged);
+    /// Ends a running task of a job; forgets the job after its last one.
+    void finish(job_slot slot, std::uint32_t index);
+
+    /// Tells that a worker may have gained room.
+    void gained_room(worker_slot worker);
+
+    [[nodiscard]] const waiting_jobs*
+    waiting_of(queue_tier tier, team_slot team) const;
+
+    fair_scheduler_settings settings;
+    rules in_force;
+    worker_pool workers;
+    team_ledger teams;
+    job_table jobs;
+    room_memory without_room;
+    std::array<std::vector<waiting_jobs>, queue_tiers> waiting;
+    std::array<share_order, queue_tiers> orders;
+    instant now{};
+
+private:
+    void unfile(job_slot slot);
+    void reorder(team_slot team);
+    void reorder_all();
+    void drop_if_idle(job_slot slot);
+};
+
+} // namespace acaciastile::impl
--- /dev/null
+++ b/src/policy/explainer.cpp
@@ -0,0 +1,117 @@
+#include "policy/explainer.hpp"
+
+#include <string>
+
+namespace acaciastile::impl
+{
+
+namespace
+{
+
+std::size_t count_before(const job_queue& queue, const queue_key& key)
+{
+    auto at = queue.lower_bound(key);
+    return static_cast<std::size_t>(std::distance(queue.begin(), at));
+}
+
+explanation told(std::string reason, std::string sentence)
+{
+    return {std::move(reason), std::move(sentence), 0, 0, 0};
+}
+
+} // namespace
+
+result<void> explainer::judge(const job_request& request) const
+{
+    auto count = static_cast<std::int64_t>(request.waiting.size());
+    bool gang = request.kind == job_kind::gang;
+    std::int64_t needed = gang ? count : 1;
+    if (state_.workers.tasks_when_empty(request.each, needed) < needed)
+    {
+        std::string what = gang ? "all its tasks at once" : "one task of it";
+        return refuse(
+            refusal_code::can_never_run,
+            "the workers here, when empty, could not hold " + what);
+    }
+    const team_rule* team = state_.in_force.find(request.team);
+    if (team != nullptr && !(request.each * needed).fits_in(team->upper_limit))
+    {
+        return refuse(
+            refusal_code::can_never_run,
+            "the upper limit of team '" + request.team.str() +
+                "' is below what it needs at once");
+    }
+    return {};
+}
+
+std::size_t explainer::place_in_queue(job_slot slot) const
+{
+    const job_entry& job = state_.jobs.at(slot);
+    const waiting_jobs* queue = state_.waiting_of(job.tier(), job.team);
+    if (queue == nullptr || !job.filed)
+    {
+        return 0;
+    }
+    queue_key key = state_.jobs.key_of(slot);
+    std::size_t before = count_before(queue->gangs(), key);
+    for (const auto& [index, jobs] : queue->all_classes())
+    {
+        before += count_before(jobs, key);
+    }
+    return before + 1;
+}
+
+explanation explainer::explain_wait(job_slot slot) const
+{
+    const job_entry& job = state_.jobs.at(slot);
+    resources size = state_.charge_of(job);
+    job_request whole = job.request;
+    whole.waiting.assign(job.waiting.begin(), job.waiting.end());
+    std::size_t fit = state_.workers.count_with_room(size);
+    explanation why;
+    if (auto possible = judge(whole); !possible)
+    {
+        why = told("can_never_run", possible.error().message);
+    }
+    else if (!job.need().fits_in(state_.teams.left(job.team)))
+    {
+        why = told(
+            "limit",
+            "team '" + job.request.team.str() +
+                "' has too little of its allowance left here");
+    }
+    else if (fit == 0)
+    {
+        why = told("room", "no open worker has room for one task of it now");
+    }
+    else if (job.is_gang())
+    {
+        why = told("gang", "there is no room for all its tasks at once");
+    }
+    else
+    {
+        why = told("order", "other work goes first; there is room for a task");
+    }
+    why.place_in_queue = place_in_queue(slot);
+    why.workers_that_fit = fit;
+    why.workers_that_could = state_.workers.count_that_could(size);
+    return why;
+}
+
+result<explanation> explainer::explain(const job_id& job) const
+{
+    job_slot slot = state_.jobs.find(job);
+    if (slot == no_slot)
+    {
+        return refuse(
+            refusal_code::unknown_job,
+            "job '" + job.str() + "' neither waits nor runs here");
+    }
+    if (state_.jobs.at(slot).waiting.empty())
+    {
+        return told("running", "all its tasks have a place");
+    }
+    return explain_wait(slot);
+}
+
+} // namespace acaciastile::impl
--- a/src/policy/fair_scheduler.hpp
+++ b/src/policy/fair_scheduler.hpp
@@ -1,18 +1,11 @@
 #pragma once
 
+#include "policy/decision_state.hpp"
 #include "policy/fair_scheduler_settings.hpp"
-#include "policy/job_table.hpp"
+#include "policy/placer.hpp"
 #include "policy/scheduler.hpp"
-#include "policy/team_ledger.hpp"
-#include "policy/worker_pool.hpp"
 
-#include <absl/container/btree_set.h>
-
-#include <array>
 #include <memory>
-#include <tuple>
-#include <utility>
-#include <vector>
 
 namespace acaciastile
 {
@@ -45,41 +38,10 @@
     [[nodiscard]] resources demand_of(const team_name& team) const override;
 
 private:
-    /// Order of a team's jobs: by time of queueing.
-    using queue_key = std::tuple<instant, std::uint64_t, impl::job_slot>;
-    using team_queue = absl::btree_set<queue_key>;
-    using share_key = std::pair<double, impl::team_slot>;
-
     explicit fair_scheduler(fair_scheduler_settings settings);
 
-    [[nodiscard]] queue_key key_of(impl::job_slot slot) const;
-    [[nodiscard]] team_queue&
-    queue_of(impl::queue_tier tier, impl::team_slot team);
-    [[nodiscard]] impl::job_slot open_job(const job_request& request);
-    void drop_if_idle(impl::job_slot slot);
-    void place(
-        impl::job_slot slot,
-        std::uint32_t index,
-        impl::worker_slot worker,
-        decisions& made);
-    [[nodiscard]] bool place_gang(impl::job_slot slot, decisions& made);
-    [[nodiscard]] bool place_one(impl::job_slot slot, decisions& made);
-    [[nodiscard]] bool place_next(
-        impl::queue_tier tier,
-        impl::team_slot team,
-        std::size_t limit,
-        decisions& made);
-    void decide_tier(impl::queue_tier tier, std::size_t limit, decisions& made);
-    [[nodiscard]] std::size_t place_in_queue(impl::job_slot slot) const;
-    [[nodiscard]] explanation explain_wait(impl::job_slot slot) const;
-
-    fair_scheduler_settings settings_;
-    rules rules_;
-    impl::worker_pool workers_;
-    impl::team_ledger teams_;
-    impl::job_table jobs_;
-    std::array<std::vector<team_queue>, impl::queue_tiers> queues_;
-    instant now_{};
+    impl::decision_state state_;
+    impl::placer placer_;
 };
 
 } // namespace acaciastile
--- /dev/null
+++ b/src/policy/fit_index.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "policy/size_class.hpp"
+#include "policy/slots.hpp"
+
+#include <absl/functional/function_ref.h>
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace acaciastile::impl
+{
+
+/// Finds workers with room for a size without looking at every worker: they
+/// stand in the cell of their free amounts.
+class fit_index
+{
+public:
+    /// Adds a worker, or moves it to the cell of what is free now.
+    void set(worker_slot slot, const resources& free);
+    void erase(worker_slot slot);
+
+    /// The classes that some worker's room covers. A size of such a class may
+    /// still be too large; a size of another class surely is.
+    [[nodiscard]] const class_set& reachable() const;
+
+    struct room
+    {
+        worker_slot worker = no_slot;
+        resources free;
+    };
+
+    /// Calls `visit` for workers with room for the size, those with the least
+    /// left over about first, until it returns false. In cells where only some
+    /// workers have room it looks at a bounded number of them.
+    void visit(
+        const resources& size,
+        absl::FunctionRef<bool(const room&)> visit) const;
+
+private:
+    struct position
+    {
+        std::uint16_t cell = no_cell;
+        std::uint32_t at = 0;
+    };
+
+    static constexpr std::uint16_t no_cell = size_classes;
+    /// Workers looked at in vain before a search is given up.
+    static constexpr std::size_t looked_at_in_vain = 512;
+
+    [[nodiscard]] bool visit_cell(
+        std::uint16_t cell,
+        const resources& size,
+        std::size_t& in_vain,
+        absl::FunctionRef<bool(const room&)> visit) const;
+    [[nodiscard]] bool visit_plane(
+        std::size_t plane,
+        const size_class& least,
+        const resources& size,
+        std::size_t& in_vain,
+        absl::FunctionRef<bool(const room&)> visit) const;
+
+    std::array<std::vector<room>, size_classes> cells_;
+    std::vector<position> positions_;
+    class_set occupied_;
+    mutable class_set reachable_;
+    mutable bool stale_ = false;
+};
+
+} // namespace acaciastile::impl
--- a/src/policy/job_table.cpp
+++ b/src/policy/job_table.cpp
@@ -3,6 +3,16 @@
 namespace acaciastile::impl
 {
 
+queue_policy policy_of(const rules& in_force, const queue_name& queue)
+{
+    const queue_rule* rule = in_force.find(queue);
+    if (rule == nullptr)
+    {
+        return {};
+    }
+    return {rule->policy, rule->preemptible, rule->oversubscribe};
+}
+
 job_slot job_table::open(const job_request& request)
 {
     job_slot known = find(request.job);
--- a/src/policy/job_table.hpp
+++ b/src/policy/job_table.hpp
@@ -4,6 +4,7 @@
 #include "policy/job_request.hpp"
 #include "policy/queue_tier.hpp"
 #include "policy/slots.hpp"
+#include "policy/waiting_jobs.hpp"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
@@ -19,20 +20,41 @@
 struct running_task
 {
     worker_slot worker = no_slot;
+    resources charged; ///< What it counts for on its worker.
     instant since{};
+    bool leaving = false; ///< A checkpoint was asked for.
 };
 
+/// What of a queue's rule the decisions need.
+struct queue_policy
+{
+    work_class policy = work_class::batch;
+    bool preemptible = false;
+    bool oversubscribe = false;
+
+    [[nodiscard]] bool operator==(const queue_policy&) const = default;
+};
+
+/// The policy of a queue; that of a batch queue where there is no such queue.
+[[nodiscard]] queue_policy
+policy_of(const rules& in_force, const queue_name& queue);
+
 /// A job of which tasks wait or run.
 struct job_entry
 {
     job_request request; ///< Its list of waiting tasks is kept below.
     team_slot team = no_slot;
-    work_class policy = work_class::batch;
+    queue_policy queue;
     std::uint64_t order = 0; ///< Ties of equal queueing times.
+    std::uint16_t filed_class = 0;
+    bool filed = false; ///< Stands in the queue of its team.
     absl::btree_set<std::uint32_t> waiting;
     absl::btree_map<std::uint32_t, running_task> running;
 
-    [[nodiscard]] queue_tier tier() const noexcept { return tier_of(policy); }
+    [[nodiscard]] queue_tier tier() const noexcept
+    {
+        return tier_of(queue.policy);
+    }
     [[nodiscard]] bool is_gang() const noexcept
     {
         return request.kind == job_kind::gang;
@@ -41,6 +63,12 @@
     {
         return waiting.empty() && running.empty();
     }
+    /// What has to fit into the team's allowance at once.
+    [[nodiscard]] resources need() const
+    {
+        auto count = static_cast<std::int64_t>(waiting.size());
+        return is_gang() ? request.each * count : request.each;
+    }
 };
 
 /// The jobs known to one scheduler, in slots that are used again.
@@ -56,6 +84,10 @@
         return jobs_[slot];
     }
     [[nodiscard]] job_entry& at(job_slot slot) { return jobs_[slot]; }
+    [[nodiscard]] queue_key key_of(job_slot slot) const
+    {
+        return {jobs_[slot].request.queued_at, jobs_[slot].order, slot};
+    }
     /// Forgets a job of which nothing waits or runs.
     void close(job_slot slot);
 
--- /dev/null
+++ b/src/policy/placer.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "policy/decision_state.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace acaciastile::impl
+{
+
+/// Places waiting tasks: teams by share, a team's jobs by age among those
+/// that may find room.
+class placer
+{
+public:
+    explicit placer(decision_state& state) : state_(state) {}
+
+    /// Places work of one tier until the limit is reached or nothing fits.
+    void place_tier(queue_tier tier, std::size_t limit, decisions& made);
+
+private:
+    /// One place in the queue of a size class.
+    struct head
+    {
+        queue_key key;
+        const job_queue* queue = nullptr;
+        job_queue::const_iterator at;
+        std::size_t tried = 0;
+    };
+
+    [[nodiscard]] bool place_next(
+        queue_tier tier, team_slot team, std::size_t limit, decisions& made);
+    void collect_heads(const waiting_jobs& queue);
+    [[nodiscard]] bool
+    try_job(job_slot slot, std::size_t limit, decisions& made);
+    [[nodiscard]] bool place_one(job_slot slot, decisions& made);
+    [[nodiscard]] bool
+    place_gang(job_slot slot, std::size_t limit, decisions& made);
+    [[nodiscard]] worker_slot
+    pick(const job_entry& job, const resources& size) const;
+    void place(
+        job_slot slot,
+        std::uint32_t index,
+        worker_slot worker,
+        const resources& charged,
+        decisions& made);
+
+    decision_state& state_;
+    std::vector<head> heads_;
+};
+
+} // namespace acaciastile::impl
--- a/src/policy/team_ledger.hpp
+++ b/src/policy/team_ledger.hpp
@@ -40,6 +40,7 @@
         return accounts_[slot];
     }
     [[nodiscard]] team_account& at(team_slot slot) { return accounts_[slot]; }
+    [[nodiscard]] std::size_t size() const noexcept { return accounts_.size(); }
 
     /// What the team may place besides what it has placed.
     [[nodiscard]] resources left(team_slot slot) const
--- a/src/policy/worker_pool.cpp
+++ b/src/policy/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "policy/worker_pool.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace acaciastile::impl
 {
@@ -41,12 +42,10 @@
     auto [at, added] = by_id_.try_emplace(entry.id, fresh);
     if (added)
     {
-        workers_.push_back({entry, worker_state::closed, true, {}});
-        count_capacity(entry.capacity, 1);
-        return fresh;
+        workers_.emplace_back();
     }
     pool_worker& known = workers_[at->second];
-    if (known.listed)
+    if (!added && known.listed)
     {
         count_capacity(known.entry.capacity, -1);
     }
@@ -57,18 +56,25 @@
     known.entry = entry;
     known.listed = true;
     count_capacity(entry.capacity, 1);
+    index(at->second);
     return at->second;
 }
 
-void worker_pool::set_state(const worker_id& id, worker_state state)
+void worker_pool::set_state(worker_slot slot, worker_state state)
 {
-    worker_slot slot = find(id);
-    if (slot != no_slot && workers_[slot].listed)
+    if (workers_[slot].listed)
     {
         workers_[slot].state = state;
+        index(slot);
     }
 }
 
+void worker_pool::set_use(worker_slot slot, worker_use use)
+{
+    workers_[slot].use = use;
+    index(slot);
+}
+
 void worker_pool::remove(const worker_id& id)
 {
     worker_slot slot = find(id);
@@ -80,6 +86,7 @@
     known.listed = false;
     known.state = worker_state::closed;
     count_capacity(known.entry.capacity, -1);
+    index(slot);
 }
 
 worker_slot worker_pool::find(const worker_id& id) const
@@ -91,42 +98,105 @@
 void worker_pool::hold(worker_slot slot, const resources& size)
 {
     workers_[slot].held += size;
+    index(slot);
 }
 
 void worker_pool::release(worker_slot slot, const resources& size)
 {
     workers_[slot].held -= size;
+    index(slot);
+}
+
+void worker_pool::add_task(worker_slot slot, const task_ref& task)
+{
+    workers_[slot].tasks.push_back(task);
+}
+
+void worker_pool::remove_task(worker_slot slot, const task_ref& task)
+{
+    std::vector<task_ref>& tasks = workers_[slot].tasks;
+    auto at = std::find(tasks.begin(), tasks.end(), task);
+    if (at != tasks.end())
+    {
+        *at = tasks.back();
+        tasks.pop_back();
+    }
 }
 
-worker_slot worker_pool::best_fit(const resources& size) const
+void worker_pool::index(worker_slot slot)
+{
+    const pool_worker& worker = workers_[slot];
+    bool accelerated = worker.entry.capacity.accelerators > 0;
+    fit_index& own = accelerated ? accelerated_ : plain_;
+    fit_index& other = accelerated ? plain_ : accelerated_;
+    other.erase(slot);
+    if (worker.is_open() && worker.use == worker_use::common)
+    {
+        own.set(slot, worker.free());
+    }
+    else
+    {
+        own.erase(slot);
+    }
+}
+
+class_set worker_pool::reachable() const
+{
+    class_set both = plain_.reachable();
+    both |= accelerated_.reachable();
+    return both;
+}
+
+double
+worker_pool::left_over(const resources& size, const resources& free) const
+{
+    auto workers = static_cast<double>(std::max<std::size_t>(listed_, 1));
+    auto part = [workers](std::int64_t left, std::int64_t total)
+    {
+        return total <= 0 ? 0.0
+                          : static_cast<double>(left) * workers /
+                                static_cast<double>(total);
+    };
+    resources left = free - size;
+    return part(left.milli_processors, total_.milli_processors) +
+           part(left.memory_mib, total_.memory_mib);
+}
+
+worker_slot worker_pool::best_fit(
+    const resources& size,
+    std::size_t candidates,
+    absl::FunctionRef<double(worker_slot)> penalty) const
 {
     worker_slot best = no_slot;
-    std::tuple<std::int64_t, std::int64_t, std::int64_t> least;
-    for (worker_slot slot = 0; slot < workers_.size(); ++slot)
+    double least = std::numeric_limits<double>::infinity();
+    std::size_t seen = 0;
+    auto weigh = [&](const fit_index::room& room)
     {
-        const pool_worker& worker = workers_[slot];
-        resources room = worker.free();
-        if (worker.state != worker_state::open || !size.fits_in(room))
-        {
-            continue;
-        }
-        std::tuple left{
-            room.accelerators - size.accelerators,
-            room.milli_processors - size.milli_processors,
-            room.memory_mib - size.memory_mib};
-        if (best == no_slot || left < least)
+        double cost = left_over(size, room.free) + penalty(room.worker);
+        if (cost < least || (cost == least && room.worker < best))
         {
-            best = slot;
-            least = left;
+            least = cost;
+            best = room.worker;
         }
+        return ++seen < candidates;
+    };
+    if (size.accelerators == 0)
+    {
+        plain_.visit(size, weigh);
+    }
+    if (best == no_slot)
+    {
+        seen = 0;
+        accelerated_.visit(size, weigh);
     }
     return best;
 }
 
 std::size_t worker_pool::count_with_room(const resources& size) const
 {
-    auto has_room = [&size](const pool_worker& worker) {
-        return worker.state == worker_state::open &&
+    auto has_room = [&size](const pool_worker& worker)
+    {
+        return worker.is_open() && worker.use != worker_use::barred &&
                size.fits_in(worker.free());
     };
     auto count = std::count_if(workers_.begin(), workers_.end(), has_room);
@@ -173,9 +243,11 @@
     {
         ++by_capacity_[key];
         total_ += capacity;
+        ++listed_;
         return;
     }
     total_ -= capacity;
+    --listed_;
     auto at = by_capacity_.find(key);
     if (--at->second == 0)
     {
--- a/src/policy/worker_pool.hpp
+++ b/src/policy/worker_pool.hpp
@@ -1,33 +1,58 @@
 #pragma once
 
 #include "domain/worker_entry.hpp"
+#include "policy/fit_index.hpp"
 #include "policy/scheduler.hpp"
 #include "policy/slots.hpp"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <tuple>
 #include <vector>
 
 namespace acaciastile::impl
 {
 
+/// A running task by the slot of its job.
+struct task_ref
+{
+    job_slot job = no_slot;
+    std::uint32_t index = 0;
+
+    [[nodiscard]] bool operator==(const task_ref&) const = default;
+};
+
+/// For whom a worker's room is kept.
+enum class worker_use
+{
+    common,   ///< Takes any work.
+    reserved, ///< Kept for one job that could not be placed otherwise.
+    claimed,  ///< Kept for urgent work that waits for a checkpoint there.
+    barred    ///< Quarantined: takes single probes alone.
+};
+
 /// One worker and what is placed on it.
 struct pool_worker
 {
     worker_entry entry;
     worker_state state = worker_state::closed;
+    worker_use use = worker_use::common;
     bool listed = true; ///< False once removed; it may still hold tasks.
     resources held;
+    std::vector<task_ref> tasks;
 
     [[nodiscard]] resources free() const noexcept
     {
         return entry.capacity - held;
     }
+    [[nodiscard]] bool is_open() const noexcept
+    {
+        return state == worker_state::open;
+    }
 };
 
 /// The workers known to one scheduler and their room.
@@ -35,7 +60,8 @@
 {
 public:
     worker_slot set(const worker_entry& entry);
-    void set_state(const worker_id& id, worker_state state);
+    void set_state(worker_slot slot, worker_state state);
+    void set_use(worker_slot slot, worker_use use);
     void remove(const worker_id& id);
 
     /// `no_slot` where no worker has that id.
@@ -44,16 +70,27 @@
     {
         return workers_[slot];
     }
+    [[nodiscard]] std::size_t size() const noexcept { return workers_.size(); }
 
     void hold(worker_slot slot, const resources& size);
     void release(worker_slot slot, const resources& size);
+    void add_task(worker_slot slot, const task_ref& task);
+    void remove_task(worker_slot slot, const task_ref& task);
 
     /// What all listed workers hold together.
     [[nodiscard]] const resources& total() const noexcept { return total_; }
 
-    /// The open worker on which one task of that size leaves the least room;
-    /// workers without accelerators go first where none is needed.
-    [[nodiscard]] worker_slot best_fit(const resources& size) const;
+    /// Classes of which a task may find room on a worker in common use.
+    [[nodiscard]] class_set reachable() const;
+
+    /// The worker in common use on which one task of that size leaves the
+    /// least room, the penalty added; `no_slot` where none has room. Workers
+    /// without accelerators go first where none is needed. A penalty that is
+    /// not finite excludes the worker.
+    [[nodiscard]] worker_slot best_fit(
+        const resources& size,
+        std::size_t candidates,
+        absl::FunctionRef<double(worker_slot)> penalty) const;
 
     /// How many open workers have room for one task now.
     [[nodiscard]] std::size_t count_with_room(const resources& size) const;
@@ -67,11 +104,17 @@
     using capacity_key = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 
     void count_capacity(const resources& capacity, int by);
+    void index(worker_slot slot);
+    [[nodiscard]] double
+    left_over(const resources& size, const resources& free) const;
 
     std::vector<pool_worker> workers_;
     absl::flat_hash_map<worker_id, worker_slot> by_id_;
     absl::btree_map<capacity_key, std::size_t> by_capacity_;
     resources total_;
+    std::size_t listed_ = 0;
+    fit_index plain_;
+    fit_index accelerated_;
 };
 
 /// How many tasks of that size fit into the room; at most `enough`.
