Quarantine of workers that fail everything, with probes

Change: failures are weighed by what is known of the job; six points without a success bar the worker, single repeatable batch tasks probe it after 30 s, doubled up to 15 min. Jobs that failed on three workers and never ended well count for nothing.

--- a/src/policy/decision_state.cpp
+++ b/src/policy/decision_state.cpp
@@ -1,8 +1,18 @@
 #include "policy/decision_state.hpp"
 
+#include <algorithm>
+
 namespace acaciastile::impl
 {
 
+namespace
+{
+
+/// Distinct workers on which a job fails before it is held to fail anywhere.
+constexpr std::size_t fails_everywhere = 3;
+
+} // namespace
+
 decision_state::decision_state(fair_scheduler_settings chosen)
     : settings(chosen)
 {
@@ -40,11 +50,17 @@
 void decision_state::set_worker_state(const worker_id& id, worker_state state)
 {
     worker_slot slot = workers.find(id);
-    if (slot != no_slot)
+    if (slot == no_slot)
     {
-        workers.set_state(slot, state);
-        gained_room(slot);
+        return;
     }
+    bool opened = state == worker_state::open && !workers.at(slot).is_open();
+    workers.set_state(slot, state);
+    if (opened)
+    {
+        health.restarted(slot, now);
+    }
+    gained_room(slot);
 }
 
 void decision_state::remove_worker(const worker_id& id)
@@ -183,7 +199,8 @@
     job_entry& job = jobs.at(slot);
     bool fresh =
         job.running
-            .try_emplace(index, running_task{worker, charged, now, false})
+            .try_emplace(
+                index, running_task{worker, charged, now, false, false})
             .second;
     if (!fresh)
     {
@@ -210,6 +227,67 @@
     drop_if_idle(slot);
 }
 
+blame decision_state::blame_of(const job_entry& job, bool told) const
+{
+    if (told)
+    {
+        return blame::certain;
+    }
+    if (job.succeeded)
+    {
+        return blame::likely;
+    }
+    // A job that failed on several workers and never ended well is at fault.
+    return job.failed_on.size() >= fails_everywhere ? blame::none
+                                                    : blame::possible;
+}
+
+void decision_state::judge_worker(
+    job_slot slot, std::uint32_t index, const task_end& how)
+{
+    job_entry& job = jobs.at(slot);
+    const running_task& task = job.running.at(index);
+    worker_slot worker = task.worker;
+    if (!settings.quarantine)
+    {
+        return;
+    }
+    if (how.stopped)
+    {
+        if (task.probe)
+        {
+            health.probe_void(worker, now);
+        }
+        return;
+    }
+    if (how.succeeded)
+    {
+        job.succeeded = true;
+        job.failed_on.clear();
+        if (health.succeeded(worker))
+        {
+            workers.set_use(worker, worker_use::common);
+        }
+        return;
+    }
+    blame what = blame_of(job, how.workers_fault);
+    bool known =
+        std::find(job.failed_on.begin(), job.failed_on.end(), worker) !=
+        job.failed_on.end();
+    if (!known && !job.succeeded && job.failed_on.size() < fails_everywhere)
+    {
+        job.failed_on.push_back(worker);
+    }
+    if (what == blame::none && task.probe)
+    {
+        health.probe_void(worker, now);
+    }
+    else if (health.failed(worker, job.order, what, now))
+    {
+        workers.set_use(worker, worker_use::barred);
+    }
+}
+
 void decision_state::gained_room(worker_slot slot)
 {
     const pool_worker& worker = workers.at(slot);
--- a/src/policy/decision_state.hpp
+++ b/src/policy/decision_state.hpp
@@ -6,6 +6,7 @@
 #include "policy/share_order.hpp"
 #include "policy/team_ledger.hpp"
 #include "policy/waiting_jobs.hpp"
+#include "policy/worker_health.hpp"
 #include "policy/worker_pool.hpp"
 
 #include <array>
@@ -48,6 +49,9 @@
     /// Ends a running task of a job; forgets the job after its last one.
     void finish(job_slot slot, std::uint32_t index);
 
+    /// Draws what an end tells of its worker.
+    void judge_worker(job_slot slot, std::uint32_t index, const task_end& how);
+
     /// Tells that a worker may have gained room.
     void gained_room(worker_slot worker);
 
@@ -60,6 +64,7 @@
     team_ledger teams;
     job_table jobs;
     room_memory without_room;
+    worker_health health;
     std::array<std::vector<waiting_jobs>, queue_tiers> waiting;
     std::array<share_order, queue_tiers> orders;
     instant now{};
@@ -69,6 +74,7 @@
     void reorder(team_slot team);
     void reorder_all();
     void drop_if_idle(job_slot slot);
+    [[nodiscard]] blame blame_of(const job_entry& job, bool told) const;
 };
 
 } // namespace acaciastile::impl
--- a/src/policy/fair_scheduler.cpp
+++ b/src/policy/fair_scheduler.cpp
@@ -76,11 +76,12 @@
     state_.start(slot, index, where, job.each);
 }
 
-void fair_scheduler::end(const task_id& task, const task_end&)
+void fair_scheduler::end(const task_id& task, const task_end& how)
 {
     job_slot slot = state_.jobs.find(task.job);
     if (slot != no_slot && state_.jobs.at(slot).running.contains(task.index))
     {
+        state_.judge_worker(slot, task.index, how);
         state_.finish(slot, task.index);
     }
 }
@@ -91,6 +92,7 @@
 {
     state_.now = now;
     decisions made;
+    placer_.begin();
     placer_.place_tier(impl::queue_tier::urgent, limit, made);
     placer_.place_tier(impl::queue_tier::status, limit, made);
     placer_.place_tier(impl::queue_tier::shared, limit, made);
--- a/src/policy/job_table.hpp
+++ b/src/policy/job_table.hpp
@@ -23,6 +23,7 @@
     resources charged; ///< What it counts for on its worker.
     instant since{};
     bool leaving = false; ///< A checkpoint was asked for.
+    bool probe = false;   ///< Tries out a quarantined worker.
 };
 
 /// What of a queue's rule the decisions need.
@@ -48,6 +49,9 @@
     std::uint64_t order = 0; ///< Ties of equal queueing times.
     std::uint16_t filed_class = 0;
     bool filed = false; ///< Stands in the queue of its team.
+    /// Workers on which a task of it failed, while none succeeded.
+    std::vector<worker_slot> failed_on;
+    bool succeeded = false; ///< A task of it ended well.
     absl::btree_set<std::uint32_t> waiting;
     absl::btree_map<std::uint32_t, running_task> running;
 
--- a/src/policy/placer.cpp
+++ b/src/policy/placer.cpp
@@ -15,6 +15,11 @@
 
 } // namespace
 
+void placer::begin()
+{
+    probes_due_ = state_.health.due(state_.now);
+}
+
 void placer::place_tier(queue_tier tier, std::size_t limit, decisions& made)
 {
     const auto& order = state_.orders[static_cast<std::size_t>(tier)].order();
@@ -97,6 +102,10 @@
 {
     const job_entry& job = state_.jobs.at(slot);
     resources size = state_.charge_of(job);
+    if (place_probe(slot, size, made))
+    {
+        return true;
+    }
     if (state_.without_room.is_known(size))
     {
         return false;
@@ -111,6 +120,31 @@
     return true;
 }
 
+bool placer::place_probe(job_slot slot, const resources& size, decisions& made)
+{
+    job_entry& job = state_.jobs.at(slot);
+    if (job.queue.policy != work_class::batch || !job.request.repeatable)
+    {
+        return false;
+    }
+    for (worker_slot worker : probes_due_)
+    {
+        const pool_worker& due = state_.workers.at(worker);
+        if (!due.is_open() || !size.fits_in(due.free()))
+        {
+            continue;
+        }
+        std::uint32_t index = *job.waiting.begin();
+        place(slot, index, worker, size, made);
+        job.running.at(index).probe = true;
+        state_.health.probe_started(worker);
+        probes_due_.erase(
+            std::find(probes_due_.begin(), probes_due_.end(), worker));
+        return true;
+    }
+    return false;
+}
+
 bool placer::place_gang(job_slot slot, std::size_t limit, decisions& made)
 {
     const job_entry& job = state_.jobs.at(slot);
--- a/src/policy/placer.hpp
+++ b/src/policy/placer.hpp
@@ -15,6 +15,9 @@
 public:
     explicit placer(decision_state& state) : state_(state) {}
 
+    /// Starts a call: looks which quarantined workers are to be probed.
+    void begin();
+
     /// Places work of one tier until the limit is reached or nothing fits.
     void place_tier(queue_tier tier, std::size_t limit, decisions& made);
 
@@ -35,6 +38,8 @@
     try_job(job_slot slot, std::size_t limit, decisions& made);
     [[nodiscard]] bool place_one(job_slot slot, decisions& made);
     [[nodiscard]] bool
+    place_probe(job_slot slot, const resources& size, decisions& made);
+    [[nodiscard]] bool
     place_gang(job_slot slot, std::size_t limit, decisions& made);
     [[nodiscard]] worker_slot
     pick(const job_entry& job, const resources& size) const;
@@ -47,6 +52,7 @@
 
     decision_state& state_;
     std::vector<head> heads_;
+    std::vector<worker_slot> probes_due_;
 };
 
 } // namespace acaciastile::impl
