--- a/src/domain/event_number.hpp
+++ b/src/domain/event_number.hpp
@@ -45,6 +45,16 @@
     member_joined = 1070,
     member_suspected = 1071,
     member_left = 1072,
+    // Entry.
+    listening = 4000,
+    certificates_reloaded = 4001,
+    certificates_kept = 4002,
+    requests_cut_off = 4003,
+    // Command line.
+    process_started = 5000,
+    stop_asked = 5001,
+    process_ended = 5002,
+    reload_asked = 5003,
 };
 
 struct event_kind
@@ -84,6 +94,16 @@
     {event_number::member_joined, event_level::info, "member_joined"},
     {event_number::member_suspected, event_level::warn, "member_suspected"},
     {event_number::member_left, event_level::warn, "member_left"},
+    {event_number::listening, event_level::info, "listening"},
+    {event_number::certificates_reloaded,
+     event_level::info,
+     "certificates_reloaded"},
+    {event_number::certificates_kept, event_level::fault, "certificates_kept"},
+    {event_number::requests_cut_off, event_level::fault, "requests_cut_off"},
+    {event_number::process_started, event_level::info, "process_started"},
+    {event_number::stop_asked, event_level::info, "stop_asked"},
+    {event_number::process_ended, event_level::info, "process_ended"},
+    {event_number::reload_asked, event_level::info, "reload_asked"},
 });
 
 } // namespace acaciastile
--- a/src/entry/handle_request.cpp
+++ b/src/entry/handle_request.cpp
@@ -103,7 +103,7 @@
     listener_shared& shared, const api_route* route, raw_request read)
 {
     const auto begun = std::chrono::steady_clock::now();
-    const std::string_view name = route == nullptr ? "none" : route->name;
+    const std::string name = route == nullptr ? "none" : route->name;
     api_reply reply = answer(shared, route, std::move(read));
     if (route == nullptr)
     {
