--- a/src/entry/api_codec.cpp
+++ b/src/entry/api_codec.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-json to_json(const explanation& value)
+json to_api_json(const explanation& value)
 {
     return {
         {"reason", value.reason},
@@ -42,7 +42,7 @@
         {"workers_that_could", value.workers_that_could}};
 }
 
-json to_json(const job_status& value)
+json to_api_json(const job_status& value)
 {
     json made{
         {"job", value.job.str()},
@@ -57,12 +57,12 @@
         {"running_on", value.running_on}};
     if (value.why)
     {
-        made["why"] = to_json(*value.why);
+        made["why"] = to_api_json(*value.why);
     }
     return made;
 }
 
-json to_json(const request_answer& value)
+json to_api_json(const request_answer& value)
 {
     return {
         {"job", value.job.str()},
@@ -70,12 +70,12 @@
         {"repeated", value.repeated}};
 }
 
-json to_json(const published& value)
+json to_api_json(const published& value)
 {
     return {{"in_force", value.in_force}};
 }
 
-json to_json(const granted_key& value)
+json to_api_json(const granted_key& value)
 {
     return {
         {"id", value.entry.id.str()},
@@ -85,7 +85,7 @@
         {"key", value.secret_text}};
 }
 
-json to_json(const configuration_in_force& value)
+json to_api_json(const configuration_in_force& value)
 {
     json made{
         {"instance", value.instance.str()},
@@ -100,7 +100,7 @@
     return made;
 }
 
-json to_json(const team_status& value)
+json to_api_json(const team_status& value)
 {
     return {
         {"name", value.name.str()},
@@ -112,7 +112,7 @@
         {"shards_unheard", value.shards_unheard}};
 }
 
-json to_json(const worker_status& value)
+json to_api_json(const worker_status& value)
 {
     return {
         {"worker", to_json(value.entry)},
--- a/src/entry/api_context.hpp
+++ b/src/entry/api_context.hpp
@@ -38,7 +38,7 @@
         return make_error_reply(outcome.error());
     }
     api_reply reply;
-    reply.body = write_json(to_json(*outcome));
+    reply.body = write_json(to_api_json(*outcome));
     return reply;
 }
 
@@ -54,7 +54,7 @@
     nlohmann::json list = nlohmann::json::array();
     for (const Value& each : *outcome)
     {
-        list.push_back(to_json(each));
+        list.push_back(to_api_json(each));
     }
     api_reply reply;
     reply.body = write_json({{name, std::move(list)}});
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,6 @@
-#include <cstdio>
+#include "cli/run_program.hpp"
 
-int main()
+int main(int argc, char** argv)
 {
-    std::puts("acaciastile");
-    return 0;
+    return acaciastile::run_program(argc, argv);
 }
