--- a/src/cli/dev/cell_setup.cpp
+++ b/src/cli/dev/cell_setup.cpp
@@ -185,10 +185,6 @@
 result<mix_target>
 set_cell_up(mix_target target, const inventory& workers, const rules& sample)
 {
-    if (auto ready = wait_ready(target); !ready)
-    {
-        return tl::unexpected(ready.error());
-    }
     auto at = connect(target, target.addresses.front());
     if (!at)
     {
@@ -214,6 +210,10 @@
     {
         return tl::unexpected(in_force.error());
     }
+    if (auto ready = wait_ready(target); !ready)
+    {
+        return tl::unexpected(ready.error());
+    }
     return target;
 }
 
--- a/src/cli/dev/dev_summary.cpp
+++ b/src/cli/dev/dev_summary.cpp
@@ -4,6 +4,7 @@
 #include "observe/distribution.hpp"
 
 #include <absl/strings/str_format.h>
+#include <cmath>
 #include <map>
 
 namespace acaciastile
@@ -45,6 +46,22 @@
     return list;
 }
 
+/// What has no outcome at the end, and why.
+json list_unsettled(const std::vector<mix_result>& results)
+{
+    json list = json::array();
+    for (const mix_result& each : results)
+    {
+        if (each.outcome == mix_outcome::waiting ||
+            each.outcome == mix_outcome::unknown)
+        {
+            list.push_back(
+                {{"job", each.item.spec.id.str()}, {"why", each.why}});
+        }
+    }
+    return list;
+}
+
 /// When each task first started.
 std::map<task_id, instant> first_starts(const std::vector<run_entry>& journal)
 {
@@ -85,9 +102,9 @@
         list.push_back(
             {{"class", to_string(policy)},
              {"tasks", wait.count()},
-             {"p50_ms", wait.p50()},
-             {"p99_ms", wait.p99()},
-             {"max_ms", wait.max()}});
+             {"p50_ms", std::llround(wait.p50())},
+             {"p99_ms", std::llround(wait.p99())},
+             {"max_ms", std::llround(wait.max())}});
     }
     return list;
 }
@@ -204,6 +221,7 @@
                    found.clean();
     made.content = {
         {"jobs", counts},
+        {"unsettled", list_unsettled(results)},
         {"refusals", refusals_by_code(results)},
         {"waiting", waiting_by_class(results, journal)},
         {"teams",
--- a/src/cli/dev/mix_result.hpp
+++ b/src/cli/dev/mix_result.hpp
@@ -4,6 +4,8 @@
 #include "domain/instant.hpp"
 #include "domain/refusal_code.hpp"
 
+#include <string>
+
 namespace acaciastile
 {
 
@@ -24,6 +26,7 @@
     mix_outcome outcome = mix_outcome::waiting;
     refusal_code code = refusal_code::internal; ///< Where refused.
     std::size_t failed_tasks = 0;
+    std::string why; ///< It waits, where it does.
     instant sent{};
 };
 
--- a/src/cli/dev/mix_runner.cpp
+++ b/src/cli/dev/mix_runner.cpp
@@ -12,6 +12,7 @@
 {
 
 using nlohmann::json;
+using namespace nlohmann::literals;
 
 namespace
 {
@@ -160,6 +161,7 @@
     if (status)
     {
         to.outcome = outcome_of(*status, to.failed_tasks);
+        to.why = status->value("/why/sentence"_json_pointer, "");
     }
     else if (
         status.error().code == refusal_code::unknown_job &&
