--- a/src/cell/instance.cpp
+++ b/src/cell/instance.cpp
@@ -217,8 +217,8 @@
 
 void instance::on_snapshot_loaded()
 {
-    writer_->settle_known(
-        [this](const std::string& id) { return cell().outcome_of(id); });
+    writer_->settle_known([this](const std::string& id)
+                          { return cell().outcome_of(id); });
     on_inventory();
     for (auto& [id, owner] : owners_)
     {
