--- a/src/cli/dev/dev_summary.cpp
+++ b/src/cli/dev/dev_summary.cpp
@@ -256,6 +256,11 @@
         number("still_waiting"),
         number("unknown"),
         number("of_these_failed"));
+    if (!in.at("unsettled").empty())
+    {
+        text += format_table(
+            in.at("unsettled"), {{"NOT SETTLED", "job"}, {"WHY", "why"}});
+    }
     text +=
         "\nrefused, by code\n" +
         format_table(in.at("refusals"), {{"CODE", "code"}, {"COUNT", "count"}});
