--- a/src/cell/cell_state.cpp
+++ b/src/cell/cell_state.cpp
@@ -1,5 +1,7 @@
 #include "cell/cell_state.hpp"
 
+#include "cell/configuration_change.hpp"
+
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -156,10 +158,17 @@
     {
         return conflict("inventory", change.base, inventory_revision_);
     }
-    inventory_ = change.content;
-    inventory_revision_ = at;
-    marks_.revise(inventory_);
-    return at;
+    return put_in_force(at, change.content);
+}
+
+cell_state::applied
+cell_state::fold(log_offset at, const inventory_changed& change)
+{
+    if (change.base != inventory_revision_)
+    {
+        return conflict("inventory", change.base, inventory_revision_);
+    }
+    return put_in_force(at, apply_change(inventory_, change));
 }
 
 cell_state::applied
@@ -169,7 +178,39 @@
     {
         return conflict("rules", change.base, rules_revision_);
     }
-    rules_ = change.content;
+    return put_in_force(at, change.content);
+}
+
+cell_state::applied cell_state::fold(log_offset at, const rules_changed& change)
+{
+    if (change.base != rules_revision_)
+    {
+        return conflict("rules", change.base, rules_revision_);
+    }
+    return put_in_force(at, apply_change(rules_, change));
+}
+
+cell_state::applied
+cell_state::put_in_force(log_offset at, result<inventory> content)
+{
+    if (!content)
+    {
+        return tl::unexpected(std::move(content.error()));
+    }
+    inventory_ = std::move(*content);
+    inventory_revision_ = at;
+    marks_.revise(inventory_);
+    return at;
+}
+
+cell_state::applied
+cell_state::put_in_force(log_offset at, result<rules> content)
+{
+    if (!content)
+    {
+        return tl::unexpected(std::move(content.error()));
+    }
+    rules_ = std::move(*content);
     rules_revision_ = at;
     return at;
 }
@@ -278,11 +319,13 @@
 
 revision cell_state::in_force_for(const cell_change& change) const
 {
-    if (std::holds_alternative<inventory_published>(change))
+    if (std::holds_alternative<inventory_published>(change) ||
+        std::holds_alternative<inventory_changed>(change))
     {
         return inventory_revision_;
     }
-    if (std::holds_alternative<rules_published>(change))
+    if (std::holds_alternative<rules_published>(change) ||
+        std::holds_alternative<rules_changed>(change))
     {
         return rules_revision_;
     }
--- a/src/cell/cell_state.hpp
+++ b/src/cell/cell_state.hpp
@@ -94,6 +94,12 @@
     [[nodiscard]] applied fold(log_offset at, const allowance_set& change);
     [[nodiscard]] applied fold(log_offset at, const allowance_wanted& change);
 
+    [[nodiscard]] applied fold(log_offset at, const inventory_changed& change);
+    [[nodiscard]] applied fold(log_offset at, const rules_changed& change);
+    [[nodiscard]] applied
+    put_in_force(log_offset at, result<inventory> content);
+    [[nodiscard]] applied put_in_force(log_offset at, result<rules> content);
+
     [[nodiscard]] result<void>
     check_epoch(const shard_id& shard, shard_epoch epoch) const;
     [[nodiscard]] revision in_force_for(const cell_change& change) const;
--- a/src/codec/compact_codec.cpp
+++ b/src/codec/compact_codec.cpp
@@ -99,7 +99,37 @@
     return workers;
 }
 
-json team_to_compact(const team_rule& team)
+} // namespace
+
+json to_compact(const resources& value)
+{
+    return json::array(
+        {value.milli_processors, value.memory_mib, value.accelerators});
+}
+
+json to_compact(const worker_entry& value)
+{
+    return json::array(
+        {value.id.str(),
+         value.data_centre.str(),
+         value.rack.str(),
+         value.address,
+         to_compact(value.capacity)});
+}
+
+result<worker_entry> worker_entry_from_compact(const json& value)
+{
+    worker_entry made;
+    array_reader items(value, "worker");
+    items.next(made.id)
+        .next(made.data_centre)
+        .next(made.rack)
+        .next(made.address)
+        .next(made.capacity, resources_from_compact);
+    return finish(items, std::move(made));
+}
+
+json to_compact(const team_rule& team)
 {
     return json::array(
         {team.name.str(), team.share, to_compact(team.upper_limit)});
@@ -115,7 +145,7 @@
     return finish(items, std::move(made));
 }
 
-json queue_to_compact(const queue_rule& queue)
+json to_compact(const queue_rule& queue)
 {
     json teams = json::array();
     for (const team_name& team : queue.teams)
@@ -148,14 +178,6 @@
     return finish(items, std::move(made));
 }
 
-} // namespace
-
-json to_compact(const resources& value)
-{
-    return json::array(
-        {value.milli_processors, value.memory_mib, value.accelerators});
-}
-
 json to_compact(const inventory& value)
 {
     std::map<data_centre_name, std::map<rack_name, json>> groups;
@@ -182,12 +204,12 @@
     json teams = json::array();
     for (const team_rule& team : value.teams())
     {
-        teams.push_back(team_to_compact(team));
+        teams.push_back(to_compact(team));
     }
     json queues = json::array();
     for (const queue_rule& queue : value.queues())
     {
-        queues.push_back(queue_to_compact(queue));
+        queues.push_back(to_compact(queue));
     }
     return json::array({std::move(teams), std::move(queues)});
 }
--- a/src/codec/compact_codec.hpp
+++ b/src/codec/compact_codec.hpp
@@ -15,7 +15,10 @@
 /// names, enumerations as their numbers. An inventory is grouped by data
 /// centre and rack, so that neither name is repeated for each worker.
 [[nodiscard]] nlohmann::json to_compact(const resources& value);
+[[nodiscard]] nlohmann::json to_compact(const worker_entry& value);
 [[nodiscard]] nlohmann::json to_compact(const inventory& value);
+[[nodiscard]] nlohmann::json to_compact(const team_rule& value);
+[[nodiscard]] nlohmann::json to_compact(const queue_rule& value);
 [[nodiscard]] nlohmann::json to_compact(const rules& value);
 [[nodiscard]] nlohmann::json to_compact(const key_entry& value);
 [[nodiscard]] nlohmann::json to_compact(const job_spec& value);
@@ -24,8 +27,14 @@
 /// errors of the aggregate's own rules.
 [[nodiscard]] result<resources>
 resources_from_compact(const nlohmann::json& value);
+[[nodiscard]] result<worker_entry>
+worker_entry_from_compact(const nlohmann::json& value);
 [[nodiscard]] result<inventory>
 inventory_from_compact(const nlohmann::json& value);
+[[nodiscard]] result<team_rule>
+team_rule_from_compact(const nlohmann::json& value);
+[[nodiscard]] result<queue_rule>
+queue_rule_from_compact(const nlohmann::json& value);
 [[nodiscard]] result<rules> rules_from_compact(const nlohmann::json& value);
 [[nodiscard]] result<key_entry>
 key_entry_from_compact(const nlohmann::json& value);
--- a/src/codec/record_codec.cpp
+++ b/src/codec/record_codec.cpp
@@ -28,7 +28,9 @@
     shard_claimed = 7,
     shard_released = 8,
     allowance_set = 9,
-    allowance_wanted = 10
+    allowance_wanted = 10,
+    inventory_changed = 11,
+    rules_changed = 12
 };
 
 /// Numbers of the kinds in a shard's stream.
@@ -47,22 +49,35 @@
     array.push_back(static_cast<unsigned>(kind));
 }
 
-json names_of(const std::vector<worker_id>& workers)
+template<class Name>
+json names_of(const std::vector<Name>& list)
 {
     json names = json::array();
-    for (const worker_id& worker : workers)
+    for (const Name& name : list)
     {
-        names.push_back(worker.str());
+        names.push_back(name.str());
     }
     return names;
 }
 
-result<worker_id> worker_name(const json& value)
+template<class Value>
+json compact_list(const std::vector<Value>& values)
 {
-    worker_id name;
+    json list = json::array();
+    for (const Value& value : values)
+    {
+        list.push_back(to_compact(value));
+    }
+    return list;
+}
+
+template<class Name>
+result<Name> read_name(const json& value)
+{
+    Name name;
     if (impl::get(value, name) != nullptr)
     {
-        return refuse(refusal_code::malformed, "worker: expected a string");
+        return refuse(refusal_code::malformed, "name: expected a string");
     }
     return name;
 }
@@ -140,6 +155,24 @@
         amount_fields(change);
     }
 
+    void operator()(const inventory_changed& change) const
+    {
+        open(array, cell_kind::inventory_changed);
+        array.push_back(change.base);
+        array.push_back(compact_list(change.set));
+        array.push_back(names_of(change.removed));
+    }
+
+    void operator()(const rules_changed& change) const
+    {
+        open(array, cell_kind::rules_changed);
+        array.push_back(change.base);
+        array.push_back(compact_list(change.set_teams));
+        array.push_back(names_of(change.removed_teams));
+        array.push_back(compact_list(change.set_queues));
+        array.push_back(names_of(change.removed_queues));
+    }
+
     template<class Change>
     void amount_fields(const Change& change) const
     {
@@ -234,12 +267,12 @@
 
 void read(array_reader& items, workers_drained& change)
 {
-    items.next_list(change.workers, worker_name).next(change.draining);
+    items.next_list(change.workers, read_name<worker_id>).next(change.draining);
 }
 
 void read(array_reader& items, workers_declared_dead& change)
 {
-    items.next_list(change.workers, worker_name);
+    items.next_list(change.workers, read_name<worker_id>);
 }
 
 void read(array_reader& items, shard_claimed& change)
@@ -265,6 +298,22 @@
     read_amount(items, change);
 }
 
+void read(array_reader& items, inventory_changed& change)
+{
+    items.next(change.base)
+        .next_list(change.set, worker_entry_from_compact)
+        .next_list(change.removed, read_name<worker_id>);
+}
+
+void read(array_reader& items, rules_changed& change)
+{
+    items.next(change.base)
+        .next_list(change.set_teams, team_rule_from_compact)
+        .next_list(change.removed_teams, read_name<team_name>)
+        .next_list(change.set_queues, queue_rule_from_compact)
+        .next_list(change.removed_queues, read_name<queue_name>);
+}
+
 void read(array_reader& /*items*/, epoch_opened& /*change*/) {}
 
 void read(array_reader& items, job_accepted& change)
--- a/src/domain/cell_record.hpp
+++ b/src/domain/cell_record.hpp
@@ -30,6 +30,28 @@
     [[nodiscard]] bool operator==(const rules_published&) const = default;
 };
 
+/// Changes some workers of the inventory. Accepted where `base` is the
+/// revision of the inventory in force; the rest of it stays as it is.
+struct inventory_changed
+{
+    revision base = 0;
+    std::vector<worker_entry> set;  ///< Added, or replaced by id.
+    std::vector<worker_id> removed; ///< Not listed any more.
+    [[nodiscard]] bool operator==(const inventory_changed&) const = default;
+};
+
+/// Changes some rules. Accepted where `base` is their revision in force; the
+/// rest stays as it is.
+struct rules_changed
+{
+    revision base = 0;
+    std::vector<team_rule> set_teams; ///< Added, or replaced by name.
+    std::vector<team_name> removed_teams;
+    std::vector<queue_rule> set_queues; ///< Added, or replaced by name.
+    std::vector<queue_name> removed_queues;
+    [[nodiscard]] bool operator==(const rules_changed&) const = default;
+};
+
 /// Grants a key. Refused where the id was ever used.
 struct key_granted
 {
@@ -111,7 +133,9 @@
     shard_claimed,
     shard_released,
     allowance_set,
-    allowance_wanted>;
+    allowance_wanted,
+    inventory_changed,
+    rules_changed>;
 
 /// One record of the cell's stream. A record whose id was seen before folds
 /// to nothing.
--- a/tests/cell/cell_state_property_test.cpp
+++ b/tests/cell/cell_state_property_test.cpp
@@ -1,4 +1,5 @@
 #include "cell/cell_state.hpp"
+#include "cell/configuration_change.hpp"
 #include "cell/record_writer.hpp"
 #include "cell/stream_reader.hpp"
 #include "codec/record_codec.hpp"
@@ -43,10 +44,11 @@
         switch (below(10))
         {
         case 0:
-            return inventory_published{
-                stale(state.inventory_revision()), some_workers()};
+            return publication(
+                state, stale(state.inventory_revision()), some_workers());
         case 1:
-            return rules_published{stale(state.rules_revision()), some_rules()};
+            return publication(
+                state, stale(state.rules_revision()), some_rules());
         case 2:
             return key_granted{caller_key(some_key().str())};
         case 3:
--- a/tests/cell/stream_reader_test.cpp
+++ b/tests/cell/stream_reader_test.cpp
@@ -164,6 +164,23 @@
     CHECK(reader->last_contact() == instant::min());
 }
 
+TEST_CASE("entries that were handed out already are passed over", "[reader]")
+{
+    held_log log;
+    std::string text;
+    auto reader = stream_reader::create(
+        log,
+        stream,
+        2,
+        {},
+        [&](const log_entry& entry) { text += entry.body; },
+        [](log_offset) {});
+    reader->tick(instant(milliseconds(0)));
+    log.reads[0](log_page{{{1, "a"}, {2, "b"}, {3, "c"}}, 4, 4, 1});
+    CHECK(text == "bc");
+    CHECK(reader->next() == 4);
+}
+
 TEST_CASE("an answer after the reader's end does nothing", "[reader]")
 {
     held_log log;
--- a/tests/codec/record_codec_test.cpp
+++ b/tests/codec/record_codec_test.cpp
@@ -50,6 +50,14 @@
         {"a-8", shard_released{shard, 10, instance_id("e2")}},
         {"a-9", allowance_set{shard, 10, team, {1, 2, 3}}},
         {"a-10", allowance_wanted{shard, 10, team, {0, 0, 0}}},
+        {"a-11", inventory_changed{7, {worker("w3", "r1")}, workers}},
+        {"a-12",
+         rules_changed{
+             8,
+             sample_rules().teams(),
+             {team_name("gone")},
+             sample_rules().queues(),
+             {queue_name("old")}}},
     };
 }
 
@@ -104,7 +112,8 @@
     {
         kinds.push_back(parse_msgpack(encode(record)).value()[1]);
     }
-    CHECK(kinds == std::vector<unsigned>{1, 2, 3, 4, 5, 6, 7, 8, 9, 10});
+    CHECK(
+        kinds == std::vector<unsigned>{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12});
     kinds.clear();
     for (const shard_record& record : shard_records())
     {
