--- a/tests/cell/record_writer_test.cpp
+++ b/tests/cell/record_writer_test.cpp
@@ -1,5 +1,6 @@
 #include "cell/record_writer.hpp"
 #include "cell/stream_reader.hpp"
+#include "support/held_log.hpp"
 #include "support/log_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -258,3 +259,127 @@
     CHECK(bench.first_copies == written);
     CHECK(bench.answers == written.size());
 }
+
+namespace
+{
+
+instant at(int count)
+{
+    return instant(milliseconds(count));
+}
+
+result<append_receipt> failed(verdict effect)
+{
+    return refuse(refusal_code::log_unavailable, effect, "");
+}
+
+/// A writer whose appends the test answers.
+struct held_writing
+{
+    held_writing() { writer = record_writer::create(log, stream, {}, 3); }
+
+    void write(int now, const std::string& id, int within)
+    {
+        writer->write(
+            at(now),
+            id,
+            id,
+            milliseconds(within),
+            [this, id](const result<fold_outcome>& outcome) {
+                ended[id] =
+                    outcome ? "folded" : to_string(outcome.error().effect);
+            });
+    }
+
+    held_log log;
+    std::unique_ptr<record_writer> writer;
+    std::map<std::string, std::string> ended;
+};
+
+} // namespace
+
+TEST_CASE("one append that may have run outweighs later refusals", "[writer]")
+{
+    held_writing bench;
+    bench.write(0, "a", 2'000);
+    bench.writer->tick(at(0));
+    bench.log.appends[0].done(failed(verdict::may_have_run));
+    bench.writer->tick(at(1'000));
+    REQUIRE(bench.log.appends.size() == 2);
+    CHECK(bench.log.appends[1].bodies == std::vector<std::string>{"a"});
+    bench.log.appends[1].done(failed(verdict::not_run));
+    bench.writer->tick(at(2'000));
+    CHECK(bench.ended["a"] == "may_have_run");
+}
+
+TEST_CASE("refusals alone leave the record not run", "[writer]")
+{
+    held_writing bench;
+    bench.write(0, "a", 2'000);
+    bench.writer->tick(at(0));
+    bench.log.appends[0].done(failed(verdict::not_run));
+    bench.writer->tick(at(2'000));
+    CHECK(bench.ended["a"] == "not_run");
+    CHECK(bench.log.appends.size() == 1);
+}
+
+TEST_CASE("at most one append is in flight", "[writer]")
+{
+    held_writing bench;
+    bench.write(0, "a", 60'000);
+    bench.writer->tick(at(0));
+    bench.write(100, "b", 60'000);
+    bench.writer->tick(at(2'999));
+    CHECK(bench.log.appends.size() == 1);
+    bench.log.appends[0].done(append_receipt{1, 1});
+    bench.writer->tick(at(3'000));
+    REQUIRE(bench.log.appends.size() == 2);
+    CHECK(bench.log.appends[1].bodies == std::vector<std::string>{"b"});
+}
+
+TEST_CASE("a late answer does not settle the append after it", "[writer]")
+{
+    held_writing bench;
+    bench.write(0, "a", 60'000);
+    bench.writer->tick(at(0));
+    bench.writer->tick(at(3'000)); // Times out.
+    bench.writer->tick(at(4'000));
+    REQUIRE(bench.log.appends.size() == 2);
+    bench.log.appends[0].done(append_receipt{1, 1});
+    CHECK_FALSE(bench.writer->wants_read());
+    bench.writer->tick(at(5'000));
+    CHECK(bench.log.appends.size() == 2);
+    bench.log.appends[1].done(append_receipt{2, 1});
+    CHECK(bench.writer->wants_read());
+}
+
+TEST_CASE("a snapshot's outcomes settle what it covers", "[writer]")
+{
+    held_writing bench;
+    bench.write(0, "a", 60'000);
+    bench.write(0, "b", 60'000);
+    bench.writer->tick(at(0));
+    bench.log.appends[0].done(append_receipt{1, 2});
+    auto known = [](const std::string& id) -> std::optional<fold_outcome>
+    {
+        if (id == "a")
+        {
+            return fold_outcome{};
+        }
+        return std::nullopt;
+    };
+    bench.writer->settle_known(known);
+    CHECK(bench.ended["a"] == "folded");
+    CHECK_FALSE(bench.ended.contains("b"));
+    CHECK(bench.writer->pending() == 1);
+}
+
+TEST_CASE("an answer after the writer's end does nothing", "[writer]")
+{
+    held_writing bench;
+    bench.write(0, "a", 60'000);
+    bench.writer->tick(at(0));
+    bench.writer.reset();
+    bench.log.appends[0].done(append_receipt{1, 1});
+    CHECK(bench.ended.empty());
+}
--- a/tests/cell/snapshot_store_test.cpp
+++ b/tests/cell/snapshot_store_test.cpp
@@ -157,6 +157,26 @@
     CHECK(bench.load() == state_through(5));
 }
 
+TEST_CASE("a good copy of a damaged chunk is taken", "[snapshot]")
+{
+    storing bench;
+    const std::string encoded = state_through(9).to_snapshot();
+    snapshot_notice notice{"good", 9, 1, 0, encoded.size(), 0};
+    notice.checksum = checksum_of(encoded);
+    std::vector<std::string> bodies;
+    for (const auto& chunk : split_snapshot("good", encoded, 100))
+    {
+        bodies.push_back(encode(chunk));
+    }
+    notice.count = static_cast<std::uint32_t>(bodies.size());
+    std::string damaged = bodies[1];
+    damaged.back() ^= 1;
+    bodies.insert(bodies.begin() + 1, damaged);
+    bench.append(snapshot_stream(), bodies);
+    bench.append(snapshot_index_stream(), {encode(notice)});
+    CHECK(bench.load() == state_through(9));
+}
+
 TEST_CASE("lost answers and an outage do not spoil a snapshot", "[snapshot]")
 {
     storing bench;
--- a/tests/cell/stream_reader_test.cpp
+++ b/tests/cell/stream_reader_test.cpp
@@ -1,4 +1,5 @@
 #include "cell/stream_reader.hpp"
+#include "support/held_log.hpp"
 #include "support/log_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -47,29 +48,6 @@
     std::string text;
 };
 
-/// A log whose answers the test gives by hand.
-class held_log : public log_service
-{
-public:
-    void append(
-        const stream_name& /*stream*/,
-        std::vector<std::string> /*bodies*/,
-        completion<append_receipt> /*done*/) override
-    {
-    }
-
-    void read(
-        const stream_name& /*stream*/,
-        log_offset /*from*/,
-        std::size_t /*limit_bytes*/,
-        completion<log_page> done) override
-    {
-        reads.push_back(std::move(done));
-    }
-
-    std::vector<completion<log_page>> reads;
-};
-
 } // namespace
 
 TEST_CASE("entries are handed out in order, each once", "[reader]")
