--- a/src/cell/cell_follower.cpp
+++ b/src/cell/cell_follower.cpp
@@ -133,7 +133,7 @@
 
 void log_cell_follower::on_load_answer(std::optional<cell_state> loaded)
 {
-    if (loaded && loaded->applied_through() > state_.applied_through())
+    if (loaded)
     {
         state_ = std::move(*loaded);
         emit(
