--- a/tests/domain/key_check_test.cpp
+++ b/tests/domain/key_check_test.cpp
@@ -59,6 +59,17 @@
     CHECK_FALSE(check_presented("k1.", made.entry));
 }
 
+TEST_CASE("every digit of the hash counts", "[key]")
+{
+    made_key made = sample();
+    for (std::size_t at = 0; at < made.entry.hash_hex.size(); ++at)
+    {
+        key_entry entry = made.entry;
+        entry.hash_hex[at] = entry.hash_hex[at] == 'a' ? 'b' : 'a';
+        CHECK_FALSE(check_presented(made.presented, entry));
+    }
+}
+
 TEST_CASE("an entry without a whole hash accepts nothing", "[key]")
 {
     made_key made = sample();
