Allowance planner: one record of a team in flight; settled() tells its end

A refused raise never shows in the fold, and an old raise that lands after a larger one acts as a cut. The planner therefore hands out no second record of a team before it hears of the first: the owner calls settled(record, verdict) for each record of a plan once it is folded (ran), proven unwritten (not_run) or given up (may_have_run).

--- a/src/cell/allowance_planner.cpp
+++ b/src/cell/allowance_planner.cpp
@@ -143,11 +143,17 @@
 void allowance_planner::resolve_pending(
     const team_round& round, team_plan& state) const
 {
-    if (state.cut && round.held == state.cut->amount)
+    auto is_over = [&](const pending_change& change)
+    {
+        const bool lapsed =
+            round.now - change.since >= settings_.unsettled_patience;
+        return round.held == change.amount || (lapsed && !change.unclear);
+    };
+    if (state.cut && is_over(*state.cut))
     {
         state.cut.reset();
     }
-    if (state.raise && round.held == state.raise->amount)
+    if (state.raise && is_over(*state.raise))
     {
         state.raise.reset();
     }
@@ -429,27 +435,33 @@
         allowance_set{shard_, epoch_, round.team, amount});
 }
 
-void allowance_planner::settled(const cell_change& record, verdict effect)
+void allowance_planner::settle(
+    std::optional<pending_change>& pending,
+    const resources& amount,
+    verdict effect)
 {
+    if (!pending || pending->amount != amount)
+    {
+        return;
+    }
     if (effect == verdict::may_have_run)
     {
+        pending->unclear = true;
         return;
     }
+    pending.reset();
+}
+
+void allowance_planner::settled(const cell_change& record, verdict effect)
+{
     if (const auto* set = std::get_if<allowance_set>(&record))
     {
-        team_plan& state = teams_[set->team];
-        if (state.cut && state.cut->amount == set->amount)
-        {
-            state.cut.reset();
-        }
-        if (state.raise && state.raise->amount == set->amount)
-        {
-            state.raise.reset();
-        }
+        settle(teams_[set->team].cut, set->amount, effect);
+        settle(teams_[set->team].raise, set->amount, effect);
     }
     if (const auto* wanted = std::get_if<allowance_wanted>(&record))
     {
-        teams_[wanted->team].wish.reset();
+        settle(teams_[wanted->team].wish, wanted->amount, effect);
     }
 }
 
--- a/src/cell/allowance_planner.hpp
+++ b/src/cell/allowance_planner.hpp
@@ -43,8 +43,12 @@
     double headroom = 0.25; ///< Raised beyond the demand by this part.
     milliseconds wish_patience{2'000};  ///< Until a wish is written again.
     milliseconds reserve_after{10'000}; ///< Unused, where room is short.
-    milliseconds turn{10'000};          ///< One task's worth is held that long.
-    milliseconds yield{2'000};          ///< After a turn, until the next raise.
+    /// Then a record of which nothing was told counts as never written. Only
+    /// for owners that do not call `settled`: a log that takes it later still
+    /// would change the allowance unseen.
+    milliseconds unsettled_patience{30'000};
+    milliseconds turn{10'000}; ///< One task's worth is held that long.
+    milliseconds yield{2'000}; ///< After a turn, until the next raise.
 };
 
 /// Splits each team's upper limit over the shards. Decides for one shard and
@@ -64,8 +68,9 @@
     /// Tells what became of a record that `plan` returned: `ran` where the
     /// fold read it, accepted or not, `not_run` where it is proven never to
     /// reach the log. With `may_have_run` the record counts as still under
-    /// way: a cut then binds until the fold shows it. To be called for each
-    /// record, else a refused raise blocks its team on this shard.
+    /// way for as long as the fold does not show it: a cut binds, and no other
+    /// change of that team is made here. To be called for each record; one
+    /// that is not told of blocks its team for `unsettled_patience`.
     void settled(const cell_change& record, verdict effect);
 
 private:
@@ -74,6 +79,7 @@
     {
         resources amount;
         instant since{};
+        bool unclear = false; ///< Told that it may arrive at any time.
     };
 
     struct team_plan
@@ -109,6 +115,10 @@
         bool contended = false;
     };
 
+    static void settle(
+        std::optional<pending_change>& pending,
+        const resources& amount,
+        verdict effect);
     [[nodiscard]] team_round make_round(
         instant now,
         const cell_state& cell,
