--- a/src/cell/allowance_planner.cpp
+++ b/src/cell/allowance_planner.cpp
@@ -37,6 +37,10 @@
 constexpr std::int64_t small_idle_divisor = 8;
 constexpr int small_idle_patience = 4;
 
+/// The margin beyond the need is given back too where others have waited for
+/// this many times the idle time.
+constexpr int margin_patience = 4;
+
 /// A busy shard gives its surplus back in at most this many records.
 constexpr std::int64_t shrink_steps = 4;
 
@@ -139,11 +143,17 @@
 void allowance_planner::resolve_pending(
     const team_round& round, team_plan& state) const
 {
-    if (state.cut && round.held == state.cut->amount)
+    auto is_over = [&](const pending_change& change)
+    {
+        const bool lapsed =
+            round.now - change.since >= settings_.unsettled_patience;
+        return round.held == change.amount || (lapsed && !change.unclear);
+    };
+    if (state.cut && is_over(*state.cut))
     {
         state.cut.reset();
     }
-    if (state.raise && round.held == state.raise->amount)
+    if (state.raise && is_over(*state.raise))
     {
         state.raise.reset();
     }
@@ -178,19 +188,23 @@
     {
         state.contended_since.reset();
     }
-    if (round.need.fits_in(round.held))
+    const bool satisfied = round.need.fits_in(round.held);
+    if (satisfied)
     {
         give_back(round, state, made);
-        return;
     }
-    state.idle_since.reset();
-    state.satisfied_since.reset();
-    if (round.contended)
+    else
+    {
+        state.idle_since.reset();
+        state.margin_since.reset();
+        state.satisfied_since.reset();
+    }
+    if (round.contended && !state.cut && !round.load.demand.is_zero())
     {
         started(state.contended_since, round.now);
         share_when_busy(round, state, made);
     }
-    if (!state.cut)
+    if (!satisfied && !state.cut)
     {
         ask_for_more(round, state, made);
     }
@@ -251,7 +265,15 @@
     {
         wish(round, state, made);
     }
-    const resources idle = excess_over(round.held, with_headroom(round.need));
+    if (!round.contended || round.need == round.held)
+    {
+        state.margin_since.reset();
+    }
+    const bool with_margin =
+        !round.contended || round.now - started(state.margin_since, round.now) <
+                                settings_.idle_after * margin_patience;
+    const resources kept = with_margin ? with_headroom(round.need) : round.need;
+    const resources idle = excess_over(round.held, kept);
     const resources short_of =
         round.contended
             ? excess_over(round.others, round.room)
@@ -413,27 +435,33 @@
         allowance_set{shard_, epoch_, round.team, amount});
 }
 
-void allowance_planner::settled(const cell_change& record, verdict effect)
+void allowance_planner::settle(
+    std::optional<pending_change>& pending,
+    const resources& amount,
+    verdict effect)
 {
+    if (!pending || pending->amount != amount)
+    {
+        return;
+    }
     if (effect == verdict::may_have_run)
     {
+        pending->unclear = true;
         return;
     }
+    pending.reset();
+}
+
+void allowance_planner::settled(const cell_change& record, verdict effect)
+{
     if (const auto* set = std::get_if<allowance_set>(&record))
     {
-        team_plan& state = teams_[set->team];
-        if (state.cut && state.cut->amount == set->amount)
-        {
-            state.cut.reset();
-        }
-        if (state.raise && state.raise->amount == set->amount)
-        {
-            state.raise.reset();
-        }
+        settle(teams_[set->team].cut, set->amount, effect);
+        settle(teams_[set->team].raise, set->amount, effect);
     }
     if (const auto* wanted = std::get_if<allowance_wanted>(&record))
     {
-        teams_[wanted->team].wish.reset();
+        settle(teams_[wanted->team].wish, wanted->amount, effect);
     }
 }
 
