Sizes and run times learnt by team and job name

Change: the last 16 measured runs of a team and name give a size: above the declared one a task counts for more, below it only where the queue allows oversubscription and start commands carry what was granted. A running task that uses more than it counts for counts for more. Shares follow what tasks count for, allowances what was granted.

--- a/bench/policy_outcomes.cpp
+++ b/bench/policy_outcomes.cpp
@@ -33,6 +33,14 @@
     std::function<std::unique_ptr<scheduler>()> make;
 };
 
+/// The settings in which start commands carry what was granted.
+fair_scheduler_settings product_settings()
+{
+    fair_scheduler_settings settings;
+    settings.oversubscribe = true;
+    return settings;
+}
+
 std::vector<contender> contenders()
 {
     return {
@@ -41,7 +49,7 @@
         {"least loaded",
          []
          { return baseline_scheduler::create(baseline_choice::least_loaded); }},
-        {"current", [] { return fair_scheduler::create({}); }}};
+        {"current", [] { return fair_scheduler::create(product_settings()); }}};
 }
 
 struct variant
--- a/bench/support/policy_baseline.cpp
+++ b/bench/support/policy_baseline.cpp
@@ -100,7 +100,9 @@
     job_entry& job = jobs_.at(slot);
     job.waiting.erase(index);
     job.running.emplace(
-        index, impl::running_task{where, job.request.each, {}, false});
+        index,
+        impl::running_task{
+            where, job.request.each, job.request.each, {}, false, false});
     teams_.at(job.team).demand -= job.request.each;
     teams_.at(job.team).used += job.request.each;
     workers_.hold(where, job.request.each);
--- a/bench/support/policy_replay.cpp
+++ b/bench/support/policy_replay.cpp
@@ -235,7 +235,7 @@
     {
         loads_[run.worker].granted -= run.granted;
         loads_[run.worker].used -= work_.jobs[job].true_each;
-        shares_.release(job, run.granted);
+        shares_.release(job, run.granted, work_.jobs[job].true_each);
         run.runs = false;
     }
 
@@ -329,7 +329,8 @@
         load.used += planned.true_each;
         const resources& held = work_.workers[run.worker].capacity;
         made_.over_granted += load.granted.fits_in(held) ? 0 : 1;
-        made_.over_allowance += shares_.hold(job, run.granted) ? 0 : 1;
+        made_.over_allowance +=
+            shares_.hold(job, run.granted, planned.true_each) ? 0 : 1;
         count_start(job, run, load.bad);
         milliseconds lasts = length_of(planned, run, load.bad);
         happens(now_ + lasts, happening::ends, job, task, run.attempt);
--- a/bench/support/share_windows.cpp
+++ b/bench/support/share_windows.cpp
@@ -38,6 +38,7 @@
         total_ += worker.capacity;
     }
     held_.resize(teams.size());
+    granted_.resize(teams.size());
     teams_.resize(teams.size());
 }
 
@@ -49,16 +50,20 @@
          part(size.accelerators, total_.accelerators)});
 }
 
-bool share_windows::hold(std::uint32_t job, const resources& size)
+bool share_windows::hold(
+    std::uint32_t job, const resources& granted, const resources& used)
 {
     std::uint32_t team = team_of_job_[job];
-    held_[team] += size;
-    return held_[team].fits_in(work_.in_force.teams()[team].upper_limit);
+    held_[team] += max(granted, used);
+    granted_[team] += granted;
+    return granted_[team].fits_in(work_.in_force.teams()[team].upper_limit);
 }
 
-void share_windows::release(std::uint32_t job, const resources& size)
+void share_windows::release(
+    std::uint32_t job, const resources& granted, const resources& used)
 {
-    held_[team_of_job_[job]] -= size;
+    held_[team_of_job_[job]] -= max(granted, used);
+    granted_[team_of_job_[job]] -= granted;
 }
 
 bool share_windows::sample(const scheduler& deciding)
@@ -72,9 +77,9 @@
         double waits = dominant(deciding.demand_of(rules[at].name));
         const resources& limit = rules[at].upper_limit;
         bool limited =
-            part(held_[at].milli_processors, limit.milli_processors) >
+            part(granted_[at].milli_processors, limit.milli_processors) >
                 limit_part ||
-            part(held_[at].memory_mib, limit.memory_mib) > limit_part;
+            part(granted_[at].memory_mib, limit.memory_mib) > limit_part;
         if (waits < backlog_part || limited)
         {
             continue;
--- a/bench/support/share_windows.hpp
+++ b/bench/support/share_windows.hpp
@@ -12,8 +12,9 @@
 namespace acaciastile::bench
 {
 
-/// Measures how close each team comes to its share. In each sample the
-/// dominant shares of the backlogged teams are summed and split by weight;
+/// Measures how close each team comes to its share of what is taken: for each
+/// task the larger of what was granted and what it truly uses. In each sample
+/// the dominant shares of the backlogged teams are summed and split by weight;
 /// a window counts for a team that is backlogged through all of it.
 class share_windows
 {
@@ -21,8 +22,10 @@
     explicit share_windows(const workload& work);
 
     /// False where the team then holds more than its upper limit.
-    [[nodiscard]] bool hold(std::uint32_t job, const resources& size);
-    void release(std::uint32_t job, const resources& size);
+    [[nodiscard]] bool
+    hold(std::uint32_t job, const resources& granted, const resources& used);
+    void
+    release(std::uint32_t job, const resources& granted, const resources& used);
 
     /// Returns whether an amount worth counting waits.
     [[nodiscard]] bool sample(const scheduler& deciding);
@@ -46,7 +49,8 @@
     const workload& work_;
     resources total_;
     std::vector<std::uint32_t> team_of_job_;
-    std::vector<resources> held_;
+    std::vector<resources> granted_;
+    std::vector<resources> held_; ///< The larger of granted and used.
     std::vector<team_window> teams_;
     std::size_t samples_in_window_ = 0;
 };
--- a/src/policy/decision_state.cpp
+++ b/src/policy/decision_state.cpp
@@ -11,6 +11,36 @@
 /// Distinct workers on which a job fails before it is held to fail anywhere.
 constexpr std::size_t fails_everywhere = 3;
 
+/// Bounds of a learnt size, in hundredths of the declared one.
+constexpr std::int64_t least_percent = 10;
+constexpr std::int64_t most_percent = 1000;
+/// What is added to a measured peak, the peak included.
+constexpr std::int64_t margin_percent = 110;
+
+resources scaled(const resources& size, std::int64_t percent)
+{
+    return {
+        size.milli_processors * percent / 100,
+        size.memory_mib * percent / 100,
+        size.accelerators};
+}
+
+std::int64_t with_margin(std::int64_t peak, std::int64_t declared)
+{
+    std::int64_t wanted = peak * margin_percent / 100;
+    return peak <= declared ? std::min(wanted, declared) : wanted;
+}
+
+/// A measured peak with the margin, which does not lead beyond what was
+/// declared as long as the peak does not.
+resources with_margin(const resources& peak, const resources& declared)
+{
+    return {
+        with_margin(peak.milli_processors, declared.milli_processors),
+        with_margin(peak.memory_mib, declared.memory_mib),
+        peak.accelerators};
+}
+
 } // namespace
 
 decision_state::decision_state(fair_scheduler_settings chosen)
@@ -80,6 +110,7 @@
     job_entry& job = jobs.at(slot);
     job.team = teams.open(request.team);
     job.queue = policy_of(in_force, request.queue);
+    job.group = estimates.hold(job.team, request.name);
     return slot;
 }
 
@@ -124,9 +155,28 @@
     drop_if_idle(slot);
 }
 
+resources decision_state::need_of(const job_entry& job) const
+{
+    resources granted = min(charge_of(job), job.request.each);
+    auto count = static_cast<std::int64_t>(job.waiting.size());
+    return job.is_gang() ? granted * count : granted;
+}
+
 resources decision_state::charge_of(const job_entry& job) const
 {
-    return job.request.each;
+    const resources& declared = job.request.each;
+    run_estimates::size_estimate learnt = estimates.size_of(job.group);
+    if (!settings.learn_sizes || !learnt.known)
+    {
+        return declared;
+    }
+    bool may_lower = settings.oversubscribe && job.queue.oversubscribe;
+    resources least = may_lower ? scaled(declared, least_percent) : declared;
+    resources most = scaled(declared, most_percent);
+    resources wanted = with_margin(learnt.peak, declared);
+    resources size = min(max(wanted, least), most);
+    size.accelerators = declared.accelerators;
+    return workers.count_that_could(size) > 0 ? size : declared;
 }
 
 void decision_state::file(job_slot slot)
@@ -197,10 +247,12 @@
     const resources& charged)
 {
     job_entry& job = jobs.at(slot);
+    resources granted = min(charged, job.request.each);
     bool fresh =
         job.running
             .try_emplace(
-                index, running_task{worker, charged, now, false, false})
+                index,
+                running_task{worker, charged, granted, now, false, false})
             .second;
     if (!fresh)
     {
@@ -208,7 +260,8 @@
     }
     workers.hold(worker, charged);
     workers.add_task(worker, {slot, index});
-    teams.at(job.team).used += job.request.each;
+    teams.at(job.team).used += granted;
+    teams.at(job.team).charged += charged;
     remove_waiting(slot, index);
     reorder(job.team);
 }
@@ -221,7 +274,8 @@
     workers.release(worker, at->second.charged);
     workers.remove_task(worker, {slot, index});
     gained_room(worker);
-    teams.at(job.team).used -= job.request.each;
+    teams.at(job.team).used -= at->second.granted;
+    teams.at(job.team).charged -= at->second.charged;
     job.running.erase(at);
     reorder(job.team);
     drop_if_idle(slot);
@@ -242,6 +296,36 @@
                                                     : blame::possible;
 }
 
+void decision_state::learn(
+    job_slot slot, std::uint32_t index, const task_end& how)
+{
+    judge_worker(slot, index, how);
+    const job_entry& job = jobs.at(slot);
+    if (how.succeeded && !how.stopped)
+    {
+        estimates.learn_run(job.group, how.ran);
+        estimates.learn_size(job.group, how.peak_usage);
+    }
+}
+
+void decision_state::set_usage(
+    job_slot slot, std::uint32_t index, const resources& usage)
+{
+    job_entry& job = jobs.at(slot);
+    running_task& task = job.running.at(index);
+    estimates.learn_size(job.group, usage);
+    // A task that uses more than it counts for counts for more from now on.
+    resources wanted = max(task.charged, with_margin(usage, job.request.each));
+    wanted.accelerators = task.charged.accelerators;
+    if (settings.learn_sizes && wanted != task.charged)
+    {
+        workers.hold(task.worker, wanted - task.charged);
+        teams.at(job.team).charged += wanted - task.charged;
+        task.charged = wanted;
+        reorder(job.team);
+    }
+}
+
 void decision_state::judge_worker(
     job_slot slot, std::uint32_t index, const task_end& how)
 {
@@ -308,6 +392,7 @@
 {
     if (jobs.at(slot).is_idle())
     {
+        estimates.release(jobs.at(slot).group);
         jobs.close(slot);
     }
 }
--- a/src/policy/decision_state.hpp
+++ b/src/policy/decision_state.hpp
@@ -36,6 +36,8 @@
 
     /// What one task of a job counts for on a worker.
     [[nodiscard]] resources charge_of(const job_entry& job) const;
+    /// What has to fit into the team's allowance at once.
+    [[nodiscard]] resources need_of(const job_entry& job) const;
     /// Puts the job into the queue of its present size, or takes it out where
     /// nothing of it waits.
     void file(job_slot slot);
@@ -49,6 +51,11 @@
     /// Ends a running task of a job; forgets the job after its last one.
     void finish(job_slot slot, std::uint32_t index);
 
+    /// Learns from an end what its runs need and what it tells of its worker.
+    void learn(job_slot slot, std::uint32_t index, const task_end& how);
+    /// Takes note of a running task's measured usage.
+    void set_usage(job_slot slot, std::uint32_t index, const resources& usage);
+
     /// Draws what an end tells of its worker.
     void judge_worker(job_slot slot, std::uint32_t index, const task_end& how);
 
@@ -65,6 +72,7 @@
     job_table jobs;
     room_memory without_room;
     worker_health health;
+    run_estimates estimates;
     std::array<std::vector<waiting_jobs>, queue_tiers> waiting;
     std::array<share_order, queue_tiers> orders;
     instant now{};
--- a/src/policy/explainer.cpp
+++ b/src/policy/explainer.cpp
@@ -73,7 +73,7 @@
     {
         why = told("can_never_run", possible.error().message);
     }
-    else if (!job.need().fits_in(state_.teams.left(job.team)))
+    else if (!state_.need_of(job).fits_in(state_.teams.left(job.team)))
     {
         why = told(
             "limit",
--- a/src/policy/fair_scheduler.cpp
+++ b/src/policy/fair_scheduler.cpp
@@ -81,12 +81,19 @@
     job_slot slot = state_.jobs.find(task.job);
     if (slot != no_slot && state_.jobs.at(slot).running.contains(task.index))
     {
-        state_.judge_worker(slot, task.index, how);
+        state_.learn(slot, task.index, how);
         state_.finish(slot, task.index);
     }
 }
 
-void fair_scheduler::set_usage(const task_id&, const resources&) {}
+void fair_scheduler::set_usage(const task_id& task, const resources& usage)
+{
+    job_slot slot = state_.jobs.find(task.job);
+    if (slot != no_slot && state_.jobs.at(slot).running.contains(task.index))
+    {
+        state_.set_usage(slot, task.index, usage);
+    }
+}
 
 decisions fair_scheduler::decide(instant now, std::size_t limit)
 {
--- a/src/policy/fair_scheduler_settings.hpp
+++ b/src/policy/fair_scheduler_settings.hpp
@@ -8,6 +8,15 @@
 {
     /// Keeps work away from workers that fail everything they start.
     bool quarantine = true;
+
+    /// Counts a task on its worker by the largest of the last measured runs
+    /// of its team and name, where that is above the declared size.
+    bool learn_sizes = true;
+
+    /// In queues that allow oversubscription, counts a task by what was
+    /// measured also where that is below the declared size, and grants that.
+    /// To be set only where start commands carry `placement::granted`.
+    bool oversubscribe = false;
 };
 
 } // namespace acaciastile
--- a/src/policy/job_table.hpp
+++ b/src/policy/job_table.hpp
@@ -3,6 +3,7 @@
 #include "domain/rules.hpp"
 #include "policy/job_request.hpp"
 #include "policy/queue_tier.hpp"
+#include "policy/run_estimates.hpp"
 #include "policy/slots.hpp"
 #include "policy/waiting_jobs.hpp"
 
@@ -21,6 +22,7 @@
 {
     worker_slot worker = no_slot;
     resources charged; ///< What it counts for on its worker.
+    resources granted; ///< What it counts for in its team's allowance.
     instant since{};
     bool leaving = false; ///< A checkpoint was asked for.
     bool probe = false;   ///< Tries out a quarantined worker.
@@ -46,7 +48,8 @@
     job_request request; ///< Its list of waiting tasks is kept below.
     team_slot team = no_slot;
     queue_policy queue;
-    std::uint64_t order = 0; ///< Ties of equal queueing times.
+    run_group group = no_slot; ///< Of its team and name.
+    std::uint64_t order = 0;   ///< Ties of equal queueing times.
     std::uint16_t filed_class = 0;
     bool filed = false; ///< Stands in the queue of its team.
     /// Workers on which a task of it failed, while none succeeded.
@@ -67,12 +70,6 @@
     {
         return waiting.empty() && running.empty();
     }
-    /// What has to fit into the team's allowance at once.
-    [[nodiscard]] resources need() const
-    {
-        auto count = static_cast<std::int64_t>(waiting.size());
-        return is_gang() ? request.each * count : request.each;
-    }
 };
 
 /// The jobs known to one scheduler, in slots that are used again.
--- a/src/policy/placer.cpp
+++ b/src/policy/placer.cpp
@@ -70,6 +70,11 @@
 bool placer::place_next(
     queue_tier tier, team_slot team, std::size_t limit, decisions& made)
 {
+    for (job_slot slot : moved_)
+    {
+        state_.file(slot);
+    }
+    moved_.clear();
     collect_heads(*state_.waiting_of(tier, team));
     auto older = [](const head& left, const head& right)
     { return left.key < right.key; };
@@ -98,7 +103,7 @@
 bool placer::try_job(job_slot slot, std::size_t limit, decisions& made)
 {
     const job_entry& job = state_.jobs.at(slot);
-    if (!job.need().fits_in(state_.teams.left(job.team)))
+    if (!state_.need_of(job).fits_in(state_.teams.left(job.team)))
     {
         return false;
     }
@@ -116,6 +121,12 @@
 {
     const job_entry& job = state_.jobs.at(slot);
     resources size = state_.charge_of(job);
+    if (class_of(size).index() != job.filed_class)
+    {
+        // What was learnt since moves it to the queue of its class now.
+        moved_.push_back(slot);
+        return false;
+    }
     if (place_probe(slot, size, made))
     {
         return true;
--- a/src/policy/placer.hpp
+++ b/src/policy/placer.hpp
@@ -54,6 +54,7 @@
     std::vector<head> heads_;
     std::vector<worker_slot> probes_due_;
     class_set probe_classes_;
+    std::vector<job_slot> moved_; ///< To be filed anew.
 };
 
 } // namespace acaciastile::impl
--- a/src/policy/team_ledger.cpp
+++ b/src/policy/team_ledger.cpp
@@ -42,7 +42,7 @@
     auto [at, added] = by_name_.try_emplace(team, fresh);
     if (added)
     {
-        accounts_.push_back({team, 1, {}, {}, {}});
+        accounts_.push_back({team, 1, {}, {}, {}, {}});
     }
     return at->second;
 }
@@ -57,9 +57,9 @@
 {
     const team_account& account = accounts_[slot];
     double largest = std::max(
-        {part(account.used.milli_processors, total.milli_processors),
-         part(account.used.memory_mib, total.memory_mib),
-         part(account.used.accelerators, total.accelerators)});
+        {part(account.charged.milli_processors, total.milli_processors),
+         part(account.charged.memory_mib, total.memory_mib),
+         part(account.charged.accelerators, total.accelerators)});
     return largest / static_cast<double>(account.share);
 }
 
--- a/src/policy/team_ledger.hpp
+++ b/src/policy/team_ledger.hpp
@@ -19,7 +19,8 @@
     team_name name;
     std::uint32_t share = 1;
     resources allowance; ///< Zero until it is set.
-    resources used;
+    resources used;      ///< Counts against the allowance.
+    resources charged;   ///< What its tasks count for on their workers.
     resources demand;
 };
 
@@ -48,9 +49,9 @@
         return accounts_[slot].allowance - accounts_[slot].used;
     }
 
-    /// The largest part of any resource that the team has placed, divided by
-    /// the team's share: weighted dominant share (Ghodsi et al., "Dominant
-    /// Resource Fairness", NSDI 2011).
+    /// The largest part of any resource that the team's tasks count for,
+    /// divided by the team's share: weighted dominant share (Ghodsi et al.,
+    /// "Dominant Resource Fairness", NSDI 2011).
     [[nodiscard]] double
     dominant_share(team_slot slot, const resources& total) const;
 
