Reservations for gangs and for tasks that wait long

Change: after 2 s a gang, after a minute a task, has room kept on the workers that have it first by the learnt ends of what runs there; teams furthest below their share go first, after ten minutes the oldest. Each reservation keeps its own room, so no two gangs wait for each other. Work whose longest remembered run, doubled, ends in time may use the room; urgent and status work may too, but not that of a starving job.

--- a/src/policy/decision_state.cpp
+++ b/src/policy/decision_state.cpp
@@ -377,7 +377,7 @@
     const pool_worker& worker = workers.at(slot);
     if (worker.is_open() && worker.use == worker_use::common)
     {
-        without_room.gained(worker.free());
+        without_room.gained(worker.room());
     }
 }
 
--- a/src/policy/fair_scheduler.cpp
+++ b/src/policy/fair_scheduler.cpp
@@ -17,7 +17,7 @@
 }
 
 fair_scheduler::fair_scheduler(fair_scheduler_settings settings)
-    : state_(settings), placer_(state_)
+    : state_(settings), reservations_(state_), placer_(state_, reservations_)
 {
 }
 
@@ -99,10 +99,16 @@
 {
     state_.now = now;
     decisions made;
+    reservations_.refresh();
     placer_.begin();
     placer_.place_tier(impl::queue_tier::urgent, limit, made);
     placer_.place_tier(impl::queue_tier::status, limit, made);
+    placer_.place_reserved(limit, made);
     placer_.place_tier(impl::queue_tier::shared, limit, made);
+    if (made.placements.size() < limit)
+    {
+        reservations_.plan();
+    }
     return made;
 }
 
--- a/src/policy/fair_scheduler.hpp
+++ b/src/policy/fair_scheduler.hpp
@@ -3,6 +3,7 @@
 #include "policy/decision_state.hpp"
 #include "policy/fair_scheduler_settings.hpp"
 #include "policy/placer.hpp"
+#include "policy/reservations.hpp"
 #include "policy/scheduler.hpp"
 
 #include <memory>
@@ -41,6 +42,7 @@
     explicit fair_scheduler(fair_scheduler_settings settings);
 
     impl::decision_state state_;
+    impl::reservations reservations_;
     impl::placer placer_;
 };
 
--- a/src/policy/fair_scheduler_settings.hpp
+++ b/src/policy/fair_scheduler_settings.hpp
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "domain/instant.hpp"
+
+#include <cstddef>
+
 namespace acaciastile
 {
 
@@ -9,6 +13,12 @@
     /// Keeps work away from workers that fail everything they start.
     bool quarantine = true;
 
+    /// Keeps room for gangs, and for tasks that wait long, until they fit.
+    bool reserve = true;
+    std::size_t reservations = 4;
+    /// A job that waited this long goes before the shares of the teams.
+    milliseconds starving_after{600'000};
+
     /// Counts a task on its worker by the largest of the last measured runs
     /// of its team and name, where that is above the declared size.
     bool learn_sizes = true;
--- a/src/policy/placer.cpp
+++ b/src/policy/placer.cpp
@@ -12,11 +12,15 @@
 constexpr std::size_t tries_of_class = 4;
 /// Workers with room that are compared for one task.
 constexpr std::size_t workers_compared = 8;
+/// A task may use kept room when this many times its longest remembered run
+/// ends before the room is needed.
+constexpr int backfill_factor = 2;
 
 } // namespace
 
 void placer::begin()
 {
+    look_at_kept();
     probes_due_ = state_.health.due(state_.now);
     probe_classes_ = class_set{};
     for (worker_slot worker : probes_due_)
@@ -30,6 +34,46 @@
     probe_classes_ = probe_classes_.covered();
 }
 
+void placer::look_at_kept()
+{
+    kept_classes_ = class_set{};
+    for (const reservation& one : reserved_.all())
+    {
+        for (const kept_room& room : one.rooms)
+        {
+            resources free = state_.workers.at(room.worker).free();
+            if (!free.has_negative())
+            {
+                kept_classes_.insert(class_of(free).index());
+            }
+        }
+    }
+    kept_classes_ = kept_classes_.covered();
+}
+
+void placer::place_reserved(std::size_t limit, decisions& made)
+{
+    auto& all = reserved_.all();
+    for (std::size_t at = 0; at < all.size();)
+    {
+        reservation one = all[at];
+        const job_entry& job = state_.jobs.at(one.job);
+        auto tasks = static_cast<std::size_t>(one.tasks);
+        bool within =
+            made.placements.empty() || made.placements.size() + tasks <= limit;
+        bool allowed = state_.need_of(job).fits_in(state_.teams.left(job.team));
+        reserved_.open(one);
+        if (within && allowed && place_all(one.job, tasks, one.rooms, made))
+        {
+            reserved_.keep(one);
+            reserved_.drop(at);
+            continue;
+        }
+        reserved_.keep(one);
+        ++at;
+    }
+}
+
 void placer::place_tier(queue_tier tier, std::size_t limit, decisions& made)
 {
     const auto& order = state_.orders[static_cast<std::size_t>(tier)].order();
@@ -53,6 +97,7 @@
     {
         open |= probe_classes_;
     }
+    open |= kept_classes_;
     queue.classes().for_each_common(
         open,
         [this, &queue](std::uint16_t index)
@@ -131,14 +176,21 @@
     {
         return true;
     }
-    if (state_.without_room.is_known(size))
+    worker_slot worker = no_slot;
+    if (!state_.without_room.is_known(size))
     {
-        return false;
+        worker = pick(job, size);
+        if (worker == no_slot)
+        {
+            state_.without_room.failed(size);
+        }
+    }
+    if (worker == no_slot)
+    {
+        worker = pick_kept(job, size);
     }
-    worker_slot worker = pick(job, size);
     if (worker == no_slot)
     {
-        state_.without_room.failed(size);
         return false;
     }
     place(slot, *job.waiting.begin(), worker, size, made);
@@ -179,11 +231,60 @@
     {
         return false;
     }
+    return place_all(slot, job.waiting.size(), {}, made);
+}
+
+worker_slot placer::pick_kept(const job_entry& job, const resources& size) const
+{
+    if (reserved_.all().empty() ||
+        !kept_classes_.contains(class_of(size).index()))
+    {
+        return no_slot;
+    }
+    bool first = job.tier() != queue_tier::shared;
+    run_estimates::run_estimate run = state_.estimates.run_of(job.group);
+    if (!first && !run.known)
+    {
+        return no_slot;
+    }
+    instant end = state_.now + run.longest * backfill_factor;
+    for (const reservation& one : reserved_.all())
+    {
+        bool may_use = first ? !one.starving : end <= one.ready_at;
+        if (!may_use)
+        {
+            continue;
+        }
+        for (const kept_room& room : one.rooms)
+        {
+            if (size.fits_in(state_.workers.at(room.worker).free()))
+            {
+                return room.worker;
+            }
+        }
+    }
+    return no_slot;
+}
+
+bool placer::place_all(
+    job_slot slot,
+    std::size_t tasks,
+    const std::vector<kept_room>& own,
+    decisions& made)
+{
+    const job_entry& job = state_.jobs.at(slot);
     resources size = state_.charge_of(job);
     std::vector<worker_slot> chosen;
-    while (chosen.size() < job.waiting.size())
+    auto own_at = own.begin();
+    while (chosen.size() < tasks)
     {
-        worker_slot worker = pick(job, size);
+        while (own_at != own.end() &&
+               !size.fits_in(state_.workers.at(own_at->worker).room()))
+        {
+            ++own_at;
+        }
+        worker_slot worker =
+            own_at != own.end() ? own_at->worker : pick(job, size);
         if (worker == no_slot)
         {
             break;
@@ -195,12 +296,12 @@
     {
         state_.workers.release(worker, size);
     }
-    if (chosen.size() < job.waiting.size())
+    if (chosen.size() < tasks)
     {
         return false;
     }
     std::vector<std::uint32_t> indexes(job.waiting.begin(), job.waiting.end());
-    for (std::size_t at = 0; at < indexes.size(); ++at)
+    for (std::size_t at = 0; at < tasks; ++at)
     {
         place(slot, indexes[at], chosen[at], size, made);
     }
--- a/src/policy/placer.hpp
+++ b/src/policy/placer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/decision_state.hpp"
+#include "policy/reservations.hpp"
 
 #include <cstddef>
 #include <vector>
@@ -13,11 +14,17 @@
 class placer
 {
 public:
-    explicit placer(decision_state& state) : state_(state) {}
+    placer(decision_state& state, reservations& reserved)
+        : state_(state), reserved_(reserved)
+    {
+    }
 
     /// Starts a call: looks which quarantined workers are to be probed.
     void begin();
 
+    /// Places jobs whose reservation is complete.
+    void place_reserved(std::size_t limit, decisions& made);
+
     /// Places work of one tier until the limit is reached or nothing fits.
     void place_tier(queue_tier tier, std::size_t limit, decisions& made);
 
@@ -41,6 +48,15 @@
     place_probe(job_slot slot, const resources& size, decisions& made);
     [[nodiscard]] bool
     place_gang(job_slot slot, std::size_t limit, decisions& made);
+    [[nodiscard]] bool place_all(
+        job_slot slot,
+        std::size_t tasks,
+        const std::vector<kept_room>& own,
+        decisions& made);
+    /// A worker whose kept room the task may use for a while.
+    [[nodiscard]] worker_slot
+    pick_kept(const job_entry& job, const resources& size) const;
+    void look_at_kept();
     [[nodiscard]] worker_slot
     pick(const job_entry& job, const resources& size) const;
     void place(
@@ -51,9 +67,11 @@
         decisions& made);
 
     decision_state& state_;
+    reservations& reserved_;
     std::vector<head> heads_;
     std::vector<worker_slot> probes_due_;
     class_set probe_classes_;
+    class_set kept_classes_;      ///< Of the free amounts under reservations.
     std::vector<job_slot> moved_; ///< To be filed anew.
 };
 
--- a/src/policy/worker_pool.cpp
+++ b/src/policy/worker_pool.cpp
@@ -107,6 +107,12 @@
     index(slot);
 }
 
+void worker_pool::keep(worker_slot slot, const resources& more)
+{
+    workers_[slot].kept += more;
+    index(slot);
+}
+
 void worker_pool::add_task(worker_slot slot, const task_ref& task)
 {
     workers_[slot].tasks.push_back(task);
@@ -132,7 +138,7 @@
     other.erase(slot);
     if (worker.is_open() && worker.use == worker_use::common)
     {
-        own.set(slot, worker.free());
+        own.set(slot, worker.room());
     }
     else
     {
@@ -197,7 +203,7 @@
     auto has_room = [&size](const pool_worker& worker)
     {
         return worker.is_open() && worker.use != worker_use::barred &&
-               size.fits_in(worker.free());
+               size.fits_in(worker.room());
     };
     auto count = std::count_if(workers_.begin(), workers_.end(), has_room);
     return static_cast<std::size_t>(count);
--- a/src/policy/worker_pool.hpp
+++ b/src/policy/worker_pool.hpp
@@ -26,13 +26,11 @@
     [[nodiscard]] bool operator==(const task_ref&) const = default;
 };
 
-/// For whom a worker's room is kept.
+/// What a worker may be given.
 enum class worker_use
 {
-    common,   ///< Takes any work.
-    reserved, ///< Kept for one job that could not be placed otherwise.
-    claimed,  ///< Kept for urgent work that waits for a checkpoint there.
-    barred    ///< Quarantined: takes single probes alone.
+    common, ///< Takes any work.
+    barred  ///< Quarantined: takes single probes alone.
 };
 
 /// One worker and what is placed on it.
@@ -43,12 +41,15 @@
     worker_use use = worker_use::common;
     bool listed = true; ///< False once removed; it may still hold tasks.
     resources held;
+    resources kept; ///< For reservations; more may be kept than is free.
     std::vector<task_ref> tasks;
 
     [[nodiscard]] resources free() const noexcept
     {
         return entry.capacity - held;
     }
+    /// What is free for work without a reservation; may be negative.
+    [[nodiscard]] resources room() const noexcept { return free() - kept; }
     [[nodiscard]] bool is_open() const noexcept
     {
         return state == worker_state::open;
@@ -74,6 +75,8 @@
 
     void hold(worker_slot slot, const resources& size);
     void release(worker_slot slot, const resources& size);
+    /// Keeps that much more for reservations, or less where negative.
+    void keep(worker_slot slot, const resources& more);
     void add_task(worker_slot slot, const task_ref& task);
     void remove_task(worker_slot slot, const task_ref& task);
 
