Short jobs get a head start within their team

Change: a job ranks behind later ones by eight times its expected run, at most ten minutes; a reservation that is not complete looks elsewhere once a second. Conclusion: kept with factor 8; backfill stays at twice the longest run.

--- a/src/policy/decision_state.cpp
+++ b/src/policy/decision_state.cpp
@@ -111,9 +111,24 @@
     job.team = teams.open(request.team);
     job.queue = policy_of(in_force, request.queue);
     job.group = estimates.hold(job.team, request.name);
+    job.rank = rank_of(job);
     return slot;
 }
 
+instant decision_state::rank_of(const job_entry& job) const
+{
+    const job_request& request = job.request;
+    if (request.kind == job_kind::service)
+    {
+        return request.queued_at;
+    }
+    run_estimates::run_estimate learnt = estimates.run_of(job.group);
+    milliseconds expected = learnt.known ? learnt.typical : request.run_time;
+    milliseconds behind = std::min(
+        expected * settings.head_start_factor, settings.longest_head_start);
+    return request.queued_at + behind;
+}
+
 void decision_state::add_waiting(
     job_slot slot, const std::vector<std::uint32_t>& indexes)
 {
--- a/src/policy/decision_state.hpp
+++ b/src/policy/decision_state.hpp
@@ -78,6 +78,7 @@
     instant now{};
 
 private:
+    [[nodiscard]] instant rank_of(const job_entry& job) const;
     void unfile(job_slot slot);
     void reorder(team_slot team);
     void reorder_all();
--- a/src/policy/fair_scheduler_settings.hpp
+++ b/src/policy/fair_scheduler_settings.hpp
@@ -19,6 +19,11 @@
     /// A job that waited this long goes before the shares of the teams.
     milliseconds starving_after{600'000};
 
+    /// Within a team a job queues behind those that came up to this many
+    /// times its expected run after it, but for at most `longest_head_start`.
+    int head_start_factor = 8;
+    milliseconds longest_head_start{600'000};
+
     /// Counts a task on its worker by the largest of the last measured runs
     /// of its team and name, where that is above the declared size.
     bool learn_sizes = true;
--- a/src/policy/job_table.hpp
+++ b/src/policy/job_table.hpp
@@ -49,7 +49,8 @@
     team_slot team = no_slot;
     queue_policy queue;
     run_group group = no_slot; ///< Of its team and name.
-    std::uint64_t order = 0;   ///< Ties of equal queueing times.
+    instant rank{};            ///< Its time in its team's queue.
+    std::uint64_t order = 0;   ///< Ties of equal ranks.
     std::uint16_t filed_class = 0;
     bool filed = false; ///< Stands in the queue of its team.
     /// Workers on which a task of it failed, while none succeeded.
@@ -87,7 +88,7 @@
     [[nodiscard]] job_entry& at(job_slot slot) { return jobs_[slot]; }
     [[nodiscard]] queue_key key_of(job_slot slot) const
     {
-        return {jobs_[slot].request.queued_at, jobs_[slot].order, slot};
+        return {jobs_[slot].rank, jobs_[slot].order, slot};
     }
     /// Forgets a job of which nothing waits or runs.
     void close(job_slot slot);
--- a/src/policy/placer.cpp
+++ b/src/policy/placer.cpp
@@ -15,6 +15,8 @@
 /// A task may use kept room when this many times its longest remembered run
 /// ends before the room is needed.
 constexpr int backfill_factor = 2;
+/// A reservation that is not complete is tried with other workers this often.
+constexpr milliseconds look_elsewhere_every{1'000};
 
 } // namespace
 
@@ -51,6 +53,22 @@
     kept_classes_ = kept_classes_.covered();
 }
 
+bool placer::worth_trying(reservation& one) const
+{
+    std::int64_t ready = 0;
+    for (const kept_room& room : one.rooms)
+    {
+        const pool_worker& worker = state_.workers.at(room.worker);
+        ready += tasks_that_fit(one.size, worker.free(), room.tasks);
+    }
+    if (ready < one.tasks && state_.now < one.next_try)
+    {
+        return false;
+    }
+    one.next_try = state_.now + look_elsewhere_every;
+    return true;
+}
+
 void placer::place_reserved(std::size_t limit, decisions& made)
 {
     auto& all = reserved_.all();
@@ -62,8 +80,13 @@
         bool within =
             made.placements.empty() || made.placements.size() + tasks <= limit;
         bool allowed = state_.need_of(job).fits_in(state_.teams.left(job.team));
+        if (!within || !allowed || !worth_trying(all[at]))
+        {
+            ++at;
+            continue;
+        }
         reserved_.open(one);
-        if (within && allowed && place_all(one.job, tasks, one.rooms, made))
+        if (place_all(one.job, tasks, one.rooms, made))
         {
             reserved_.keep(one);
             reserved_.drop(at);
--- a/src/policy/placer.hpp
+++ b/src/policy/placer.hpp
@@ -57,6 +57,7 @@
     [[nodiscard]] worker_slot
     pick_kept(const job_entry& job, const resources& size) const;
     void look_at_kept();
+    [[nodiscard]] bool worth_trying(reservation& one) const;
     [[nodiscard]] worker_slot
     pick(const job_entry& job, const resources& size) const;
     void place(
--- a/src/policy/reservations.hpp
+++ b/src/policy/reservations.hpp
@@ -29,6 +29,7 @@
     instant ready_at{};
     bool starving = false;  ///< Waited so long that it yields to nothing.
     bool preempted = false; ///< Checkpoints were asked for on its behalf.
+    instant next_try{};     ///< When other workers are looked at again.
 };
 
 /// The reservations in force. Each keeps its own room, so that gangs do not
--- a/src/policy/waiting_jobs.hpp
+++ b/src/policy/waiting_jobs.hpp
@@ -13,7 +13,7 @@
 namespace acaciastile::impl
 {
 
-/// Order of a team's jobs: by the time of queueing.
+/// Order of a team's jobs: by rank.
 using queue_key = std::tuple<instant, std::uint64_t, job_slot>;
 using job_queue = absl::btree_set<queue_key>;
 
