Headroom for urgent work, and preemption by checkpoint

Cause: urgent p99 stood at 0.8 to 2 s on a full fleet of large workers, above the 1.2 s asked for. Change: one worker in sixteen keeps room for the largest urgent task seen (at most an eighth of it, only among workers of a common size); urgent work without room after 0.3 s claims the room that the cheapest checkpoints make; a reserved job beyond ten minutes has tasks of teams above its own share checkpointed. Two reservations at once in place of four.

--- a/src/policy/decision_state.cpp
+++ b/src/policy/decision_state.cpp
@@ -11,6 +11,9 @@
 /// Distinct workers on which a job fails before it is held to fail anywhere.
 constexpr std::size_t fails_everywhere = 3;
 
+/// Expected of a run of which nothing is known.
+constexpr milliseconds unknown_run{600'000};
+
 /// Bounds of a learnt size, in hundredths of the declared one.
 constexpr std::int64_t least_percent = 10;
 constexpr std::int64_t most_percent = 1000;
@@ -112,6 +115,10 @@
     job.queue = policy_of(in_force, request.queue);
     job.group = estimates.hold(job.team, request.name);
     job.rank = rank_of(job);
+    if (job.tier() == queue_tier::urgent)
+    {
+        largest_urgent = max(largest_urgent, request.each);
+    }
     return slot;
 }
 
@@ -387,6 +394,27 @@
     }
 }
 
+instant decision_state::expected_end(const task_ref& task) const
+{
+    const job_entry& job = jobs.at(task.job);
+    if (job.queue.policy == work_class::service)
+    {
+        return instant::max();
+    }
+    const running_task& run = job.running.at(task.index);
+    milliseconds ran = now - run.since;
+    run_estimates::run_estimate learnt = estimates.run_of(job.group);
+    milliseconds whole = learnt.known                 ? learnt.typical
+                         : job.request.run_time > ran ? job.request.run_time
+                                                      : unknown_run;
+    if (ran >= whole)
+    {
+        whole = learnt.known && ran < learnt.longest ? learnt.longest
+                                                     : ran + ran / 2;
+    }
+    return run.since + whole;
+}
+
 void decision_state::gained_room(worker_slot slot)
 {
     const pool_worker& worker = workers.at(slot);
--- a/src/policy/decision_state.hpp
+++ b/src/policy/decision_state.hpp
@@ -59,6 +59,10 @@
     /// Draws what an end tells of its worker.
     void judge_worker(job_slot slot, std::uint32_t index, const task_end& how);
 
+    /// When a running task is expected to end, by its learnt or declared run
+    /// time; services never.
+    [[nodiscard]] instant expected_end(const task_ref& task) const;
+
     /// Tells that a worker may have gained room.
     void gained_room(worker_slot worker);
 
@@ -75,6 +79,7 @@
     run_estimates estimates;
     std::array<std::vector<waiting_jobs>, queue_tiers> waiting;
     std::array<share_order, queue_tiers> orders;
+    resources largest_urgent; ///< Of the urgent tasks seen so far, by amount.
     instant now{};
 
 private:
--- a/src/policy/fair_scheduler.cpp
+++ b/src/policy/fair_scheduler.cpp
@@ -17,7 +17,10 @@
 }
 
 fair_scheduler::fair_scheduler(fair_scheduler_settings settings)
-    : state_(settings), reservations_(state_), placer_(state_, reservations_)
+    : state_(settings),
+      reservations_(state_),
+      preemptor_(state_, reservations_),
+      placer_(state_, reservations_, preemptor_)
 {
 }
 
@@ -100,14 +103,20 @@
     state_.now = now;
     decisions made;
     reservations_.refresh();
+    preemptor_.refresh();
     placer_.begin();
     placer_.place_tier(impl::queue_tier::urgent, limit, made);
+    if (made.placements.size() < limit)
+    {
+        preemptor_.make_room_for_urgent(made);
+    }
     placer_.place_tier(impl::queue_tier::status, limit, made);
     placer_.place_reserved(limit, made);
     placer_.place_tier(impl::queue_tier::shared, limit, made);
     if (made.placements.size() < limit)
     {
         reservations_.plan();
+        preemptor_.make_room_for_reserved(made);
     }
     return made;
 }
--- a/src/policy/fair_scheduler.hpp
+++ b/src/policy/fair_scheduler.hpp
@@ -3,6 +3,7 @@
 #include "policy/decision_state.hpp"
 #include "policy/fair_scheduler_settings.hpp"
 #include "policy/placer.hpp"
+#include "policy/preemptor.hpp"
 #include "policy/reservations.hpp"
 #include "policy/scheduler.hpp"
 
@@ -43,6 +44,7 @@
 
     impl::decision_state state_;
     impl::reservations reservations_;
+    impl::preemptor preemptor_;
     impl::placer placer_;
 };
 
--- a/src/policy/fair_scheduler_settings.hpp
+++ b/src/policy/fair_scheduler_settings.hpp
@@ -15,10 +15,19 @@
 
     /// Keeps room for gangs, and for tasks that wait long, until they fit.
     bool reserve = true;
-    std::size_t reservations = 4;
+    std::size_t reservations = 2;
     /// A job that waited this long goes before the shares of the teams.
     milliseconds starving_after{600'000};
 
+    /// Asks for checkpoints of tasks in preemptible queues: for urgent work
+    /// that finds no room, and for gangs that waited this long.
+    bool preempt = true;
+    milliseconds gang_preempts_after{600'000};
+
+    /// Every so many workers one keeps room for the largest urgent task seen;
+    /// zero: none does.
+    std::size_t headroom_every = 16;
+
     /// Within a team a job queues behind those that came up to this many
     /// times its expected run after it, but for at most `longest_head_start`.
     int head_start_factor = 8;
--- a/src/policy/placer.cpp
+++ b/src/policy/placer.cpp
@@ -50,6 +50,14 @@
             }
         }
     }
+    for (const urgent_claim& one : preempting_.claims())
+    {
+        resources free = state_.workers.at(one.worker).free();
+        if (!free.has_negative())
+        {
+            kept_classes_.insert(class_of(free).index());
+        }
+    }
     kept_classes_ = kept_classes_.covered();
 }
 
@@ -259,12 +267,21 @@
 
 worker_slot placer::pick_kept(const job_entry& job, const resources& size) const
 {
-    if (reserved_.all().empty() ||
-        !kept_classes_.contains(class_of(size).index()))
+    if (!kept_classes_.contains(class_of(size).index()))
     {
         return no_slot;
     }
     bool first = job.tier() != queue_tier::shared;
+    if (first)
+    {
+        for (const urgent_claim& one : preempting_.claims())
+        {
+            if (size.fits_in(state_.workers.at(one.worker).free()))
+            {
+                return one.worker;
+            }
+        }
+    }
     run_estimates::run_estimate run = state_.estimates.run_of(job.group);
     if (!first && !run.known)
     {
--- a/src/policy/placer.hpp
+++ b/src/policy/placer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/decision_state.hpp"
+#include "policy/preemptor.hpp"
 #include "policy/reservations.hpp"
 
 #include <cstddef>
@@ -14,8 +15,11 @@
 class placer
 {
 public:
-    placer(decision_state& state, reservations& reserved)
-        : state_(state), reserved_(reserved)
+    placer(
+        decision_state& state,
+        reservations& reserved,
+        const preemptor& preempting)
+        : state_(state), reserved_(reserved), preempting_(preempting)
     {
     }
 
@@ -69,6 +73,7 @@
 
     decision_state& state_;
     reservations& reserved_;
+    const preemptor& preempting_;
     std::vector<head> heads_;
     std::vector<worker_slot> probes_due_;
     class_set probe_classes_;
--- a/src/policy/reservations.cpp
+++ b/src/policy/reservations.cpp
@@ -13,7 +13,6 @@
 constexpr milliseconds gang_patience{2'000};
 constexpr milliseconds task_patience{60'000};
 constexpr milliseconds overdue_by{60'000};
-constexpr milliseconds unknown_run{600'000};
 constexpr std::size_t gangs_looked_at = 4;
 /// Reservations together keep room on at most this part of the workers, but
 /// for a single one, which may need more.
@@ -170,27 +169,6 @@
     }
 }
 
-instant reservations::expected_end(const task_ref& task) const
-{
-    const job_entry& job = state_.jobs.at(task.job);
-    if (job.queue.policy == work_class::service)
-    {
-        return instant::max();
-    }
-    const running_task& run = job.running.at(task.index);
-    milliseconds ran = state_.now - run.since;
-    run_estimates::run_estimate learnt = state_.estimates.run_of(job.group);
-    milliseconds whole = learnt.known                 ? learnt.typical
-                         : job.request.run_time > ran ? job.request.run_time
-                                                      : unknown_run;
-    if (ran >= whole)
-    {
-        whole = learnt.known && ran < learnt.longest ? learnt.longest
-                                                     : ran + ran / 2;
-    }
-    return run.since + whole;
-}
-
 void reservations::add_slot_times(
     worker_slot worker,
     const resources& size,
@@ -205,7 +183,7 @@
     std::vector<std::pair<instant, resources>> ends;
     for (const task_ref& task : held.tasks)
     {
-        instant end = expected_end(task);
+        instant end = state_.expected_end(task);
         if (end != instant::max())
         {
             const job_entry& job = state_.jobs.at(task.job);
--- a/src/policy/reservations.hpp
+++ b/src/policy/reservations.hpp
@@ -86,7 +86,6 @@
         const resources& size,
         std::int64_t tasks,
         std::vector<slot_time>& times) const;
-    [[nodiscard]] instant expected_end(const task_ref& task) const;
     [[nodiscard]] bool still_holds(const reservation& one) const;
     [[nodiscard]] std::size_t workers_kept() const;
 
--- a/src/policy/worker_pool.cpp
+++ b/src/policy/worker_pool.cpp
@@ -261,4 +261,13 @@
     }
 }
 
+std::size_t worker_pool::count_of_capacity(const resources& capacity) const
+{
+    auto at = by_capacity_.find(
+        {capacity.milli_processors,
+         capacity.memory_mib,
+         capacity.accelerators});
+    return at == by_capacity_.end() ? 0 : at->second;
+}
+
 } // namespace acaciastile::impl
--- a/src/policy/worker_pool.hpp
+++ b/src/policy/worker_pool.hpp
@@ -99,6 +99,9 @@
     [[nodiscard]] std::size_t count_with_room(const resources& size) const;
     /// How many listed workers could hold one task when empty.
     [[nodiscard]] std::size_t count_that_could(const resources& size) const;
+    /// How many listed workers are exactly of that size.
+    [[nodiscard]] std::size_t
+    count_of_capacity(const resources& capacity) const;
     /// How many tasks all listed workers could hold when empty.
     [[nodiscard]] std::int64_t
     tasks_when_empty(const resources& size, std::int64_t enough) const;
