Allowances are planned as demand arises; cut-off instances follow the log through peers

Cause: the first start of a team on a shard waited for the next round of allowances (250 ms); an instance cut off from the log alone failed closed. Change: a demand beyond the allowance plans within 20 ms and the end of each record plans again; reads of the cell's stream go round through a peer.

--- a/src/cell/instance.cpp
+++ b/src/cell/instance.cpp
@@ -55,8 +55,16 @@
           settings_.self.id.str() + "." +
           to_hex(ports_.random_bytes(name_bytes)) + ".")
 {
-    follower_ = cell_follower::create(
+    log_ = relayed_log::create(
         *ports_.log,
+        *ports_.peers,
+        settings_.relay,
+        [this] { return members_->newest_offset().second; });
+    relay_ = std::make_unique<log_relay>(log_->tail());
+    settings_.follower.reader.answer_age = [this]
+    { return log_->answer_age(); };
+    follower_ = cell_follower::create(
+        *log_,
         settings_.follower,
         settings_.self.id.str(),
         random_(),
@@ -109,6 +117,7 @@
 
 void instance::tick(instant /*now*/)
 {
+    log_->tick(now());
     follower_->tick(now());
     if (writer_->wants_read())
     {
@@ -178,40 +187,46 @@
     {
         return;
     }
-    if (std::holds_alternative<inventory_published>(record.change))
+    note_configuration();
+    if (std::holds_alternative<shard_claimed>(record.change) ||
+        std::holds_alternative<shard_released>(record.change))
     {
-        on_inventory();
-        ports_.events->emit(
-            {event_number::configuration_in_force,
-             {{"inventory", std::to_string(outcome.in_force)},
-              {"instance", settings_.self.id.str()}}});
+        next_manage_ = now();
     }
-    else if (std::holds_alternative<rules_published>(record.change))
+    else if (auto* dead = std::get_if<workers_declared_dead>(&record.change))
     {
         for (auto& [id, owner] : owners_)
         {
-            owner->set_rules(cell().rules_in_force());
+            for (const worker_id& worker : dead->workers)
+            {
+                owner->declare_dead(worker);
+            }
         }
+    }
+}
+
+void instance::note_configuration()
+{
+    if (cell().inventory_revision() != inventory_noted_)
+    {
+        inventory_noted_ = cell().inventory_revision();
+        on_inventory();
         ports_.events->emit(
             {event_number::configuration_in_force,
-             {{"rules", std::to_string(outcome.in_force)},
+             {{"inventory", std::to_string(inventory_noted_)},
               {"instance", settings_.self.id.str()}}});
     }
-    else if (
-        std::holds_alternative<shard_claimed>(record.change) ||
-        std::holds_alternative<shard_released>(record.change))
-    {
-        next_manage_ = now();
-    }
-    else if (auto* dead = std::get_if<workers_declared_dead>(&record.change))
+    if (cell().rules_revision() != rules_noted_)
     {
+        rules_noted_ = cell().rules_revision();
         for (auto& [id, owner] : owners_)
         {
-            for (const worker_id& worker : dead->workers)
-            {
-                owner->declare_dead(worker);
-            }
+            owner->set_rules(cell().rules_in_force());
         }
+        ports_.events->emit(
+            {event_number::configuration_in_force,
+             {{"rules", std::to_string(rules_noted_)},
+              {"instance", settings_.self.id.str()}}});
     }
 }
 
@@ -219,11 +234,8 @@
 {
     writer_->settle_known([this](const std::string& id)
                           { return cell().outcome_of(id); });
-    on_inventory();
-    for (auto& [id, owner] : owners_)
-    {
-        owner->set_rules(cell().rules_in_force());
-    }
+    note_configuration();
+    next_manage_ = now();
 }
 
 void instance::poll_vms()
--- a/src/cell/instance.hpp
+++ b/src/cell/instance.hpp
@@ -4,8 +4,10 @@
 #include "cell/claim_planner.hpp"
 #include "cell/control.hpp"
 #include "cell/instance_settings.hpp"
+#include "cell/log_relay.hpp"
 #include "cell/membership.hpp"
 #include "cell/record_writer.hpp"
+#include "cell/relayed_log.hpp"
 #include "cell/shard_host.hpp"
 #include "cell/shard_map.hpp"
 #include "cell/shard_owner.hpp"
@@ -145,6 +147,7 @@
     // Configuration and shards.
     void on_cell_record(const cell_record& record, const fold_outcome& outcome);
     void on_snapshot_loaded();
+    void note_configuration();
     void on_inventory();
     [[nodiscard]] bool has_configuration() const;
     void poll_vms();
@@ -218,12 +221,16 @@
     instance_settings settings_;
     instance_ports ports_;
     std::mt19937_64 random_;
+    std::unique_ptr<relayed_log> log_;
+    std::unique_ptr<log_relay> relay_;
     std::unique_ptr<cell_follower> follower_;
     std::unique_ptr<record_writer> writer_;
     std::unique_ptr<membership> members_;
     std::unique_ptr<shard_router> router_;
     claim_planner planner_;
     shard_map shards_;
+    revision inventory_noted_ = 0;
+    revision rules_noted_ = 0;
     std::map<shard_id, std::unique_ptr<shard_owner>> owners_;
 
     /// Claims on their way to the log: whether the shard was given up in
--- a/src/cell/instance_calls.cpp
+++ b/src/cell/instance_calls.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/instance.hpp"
 
+#include "cell/configuration_change.hpp"
 #include "cell/peer_codec.hpp"
 #include "cell/shard_capacity.hpp"
 #include "codec/document_codec.hpp"
@@ -333,7 +334,8 @@
     rules content,
     completion<published> done)
 {
-    publish(key, rules_published{base, std::move(content)}, std::move(done));
+    publish(
+        key, publication(cell(), base, std::move(content)), std::move(done));
 }
 
 void instance::grant_key(
--- a/src/cell/instance_peers.cpp
+++ b/src/cell/instance_peers.cpp
@@ -3,6 +3,7 @@
 #include "cell/instance.hpp"
 
 #include "cell/peer_codec.hpp"
+#include "cell/relay_message.hpp"
 #include "codec/document_codec.hpp"
 #include "codec/field_reader.hpp"
 #include "codec/json_text.hpp"
@@ -58,6 +59,11 @@
         members_->on_peer(at, method, body, std::move(done));
         return;
     }
+    if (method == relay_read_method)
+    {
+        done(relay_->serve(at, body));
+        return;
+    }
     handle_local(method, body, std::move(done));
 }
 
--- a/src/cell/instance_settings.hpp
+++ b/src/cell/instance_settings.hpp
@@ -4,6 +4,7 @@
 #include "cell/claim_planner.hpp"
 #include "cell/membership.hpp"
 #include "cell/record_writer.hpp"
+#include "cell/relayed_log.hpp"
 #include "cell/shard_map.hpp"
 #include "cell/shard_router.hpp"
 #include "cell/shard_settings.hpp"
@@ -32,6 +33,7 @@
     claim_settings claims;
     shard_settings shard;
     cell_follower_settings follower;
+    relayed_log_settings relay;
     shard_router_settings router;
     record_writer_settings writer; ///< For the cell's stream.
     std::size_t shard_workers = shard_map::default_shard_workers;
--- a/src/cell/shard_owner.hpp
+++ b/src/cell/shard_owner.hpp
@@ -138,6 +138,7 @@
     void enqueue_request(const live_request& request);
     void wake_delayed();
     void plan_allowances();
+    void plan_soon(const job_spec& spec);
     void stop_excess(const std::map<team_name, resources>& excess);
     void refresh_worker_states();
     void set_worker_state_of(const worker_link& link);
@@ -213,6 +214,7 @@
     bool releasing_ = false;
     bool log_up_ = true;
     instant next_plan_{};
+    std::set<team_name> bounded_; ///< Teams that the last plan named.
     instant next_restate_{};
     job_id restated_last_;
 
--- a/src/cell/shard_owner_decide.cpp
+++ b/src/cell/shard_owner_decide.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace acaciastile
 {
@@ -11,6 +12,9 @@
 namespace
 {
 
+/// Between plans that a new demand asks for.
+constexpr milliseconds least_plan_interval{20};
+
 /// The kinds of work in the order in which they are stopped where a team has
 /// more running than it may.
 int stop_rank(const job_spec& spec)
@@ -159,6 +163,7 @@
     job_request request = make_request(spec, std::move(indexes));
     request.queued_at = first;
     scheduler_->enqueue(request);
+    plan_soon(spec);
 }
 
 void shard_owner::dequeue(const job_id& job)
@@ -177,6 +182,18 @@
     wanted.queued_at = request.arrived;
     queued_.insert({request.spec.id, 0});
     scheduler_->enqueue(wanted);
+    plan_soon(request.spec);
+}
+
+void shard_owner::plan_soon(const job_spec& spec)
+{
+    const resources held = host_.cell().allowance(shard_.id, spec.team);
+    const resources wanted = scheduler_->usage_of(spec.team) + spec.each;
+    if (!wanted.fits_in(held))
+    {
+        // Nothing of it can start before its team's allowance is raised.
+        next_plan_ = std::min(next_plan_, now() + least_plan_interval);
+    }
 }
 
 void shard_owner::wake_delayed()
@@ -215,10 +232,31 @@
     for (const auto& [team, bound] : plan.bounds)
     {
         scheduler_->set_allowance(team, bound);
+        bounded_.erase(team);
     }
-    for (cell_change& change : plan.records)
+    for (const team_name& team : std::exchange(bounded_, {}))
     {
-        host_.write_cell(std::move(change), nullptr);
+        scheduler_->set_allowance(team, {});
+    }
+    for (const auto& [team, bound] : plan.bounds)
+    {
+        bounded_.insert(team);
+    }
+    std::weak_ptr<bool> alive = alive_;
+    for (const cell_change& change : plan.records)
+    {
+        host_.write_cell(
+            change,
+            [this, alive, change](result<fold_outcome> outcome)
+            {
+                if (!alive.expired())
+                {
+                    planner_.settled(
+                        change,
+                        outcome ? verdict::ran : outcome.error().effect);
+                    next_plan_ = instant{};
+                }
+            });
     }
     stop_excess(plan.excess);
 }
