--- a/bench/cell_fold.cpp
+++ b/bench/cell_fold.cpp
@@ -7,7 +7,10 @@
 
 #include <benchmark/benchmark.h>
 #include <cstdint>
+#include <fstream>
+#include <malloc.h>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace
@@ -258,6 +261,34 @@
     }
 }
 
+/// Resident bytes of this process.
+double resident_bytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    statm >> total >> resident;
+    return static_cast<double>(resident) *
+           static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+void state_memory(benchmark::State& run)
+{
+    const std::string encoded = whole_state().to_snapshot();
+    malloc_trim(0);
+    const double before = resident_bytes();
+    result<cell_state> state;
+    for (auto _ : run)
+    {
+        state = cell_state::from_snapshot(encoded);
+    }
+    const double peak = resident_bytes();
+    malloc_trim(0);
+    run.counters["kept"] = resident_bytes() - before;
+    run.counters["while_reading"] = peak - before;
+}
+
+BENCHMARK(state_memory)->Iterations(1)->Unit(benchmark::kMillisecond);
 BENCHMARK(job_accepted_record);
 BENCHMARK(attempt_assigned_record);
 BENCHMARK(attempt_ended_record);
--- a/src/cell/cell_follower.cpp
+++ b/src/cell/cell_follower.cpp
@@ -78,6 +78,7 @@
     void on_expired();
     void take(const log_entry& entry);
     void tell_contact();
+    void note_head();
     void write_if_due();
     void on_written(const result<log_offset>& covered);
     [[nodiscard]] snapshot_need need() const;
@@ -108,17 +109,16 @@
     {
         begin_load();
     }
-    if (phase_ != phase::following)
+    if (phase_ == phase::following)
     {
-        return;
+        reader_->tick(now);
     }
-    reader_->tick(now);
-    if (phase_ != phase::following)
+    tell_contact();
+    if (phase_ == phase::following)
     {
-        return;
+        note_head();
+        write_if_due();
     }
-    tell_contact();
-    write_if_due();
 }
 
 void log_cell_follower::begin_load()
@@ -189,7 +189,8 @@
 
 void log_cell_follower::tell_contact()
 {
-    const bool failing = reader_->failing();
+    const bool failing =
+        phase_ == phase::following ? reader_->failing() : snapshots_->failing();
     if (failing != told_failing_)
     {
         told_failing_ = failing;
@@ -198,6 +199,10 @@
             "folded",
             std::to_string(state_.applied_through()));
     }
+}
+
+void log_cell_follower::note_head()
+{
     if (!reader_->at_head())
     {
         return;
--- a/src/cell/snapshot_store.cpp
+++ b/src/cell/snapshot_store.cpp
@@ -66,6 +66,11 @@
         return newest_;
     }
 
+    [[nodiscard]] bool failing() const noexcept override
+    {
+        return index_->failing();
+    }
+
 private:
     static stream_reader_settings
     index_settings(const snapshot_store_settings& settings)
--- a/src/cell/snapshot_store.hpp
+++ b/src/cell/snapshot_store.hpp
@@ -65,6 +65,9 @@
 
     [[nodiscard]] virtual const std::optional<known_snapshot>&
     newest() const noexcept = 0;
+
+    /// True where the last read of the index failed or timed out.
+    [[nodiscard]] virtual bool failing() const noexcept = 0;
 };
 
 } // namespace acaciastile
--- a/tests/cell/cell_follower_test.cpp
+++ b/tests/cell/cell_follower_test.cpp
@@ -245,6 +245,22 @@
     CHECK_FALSE(bench.follower->failing());
 }
 
+TEST_CASE("a start during an outage waits and tells so", "[follower]")
+{
+    following bench;
+    bench.publish(3);
+    bench.log.set_down(true);
+    bench.run(milliseconds(20'000));
+    CHECK_FALSE(bench.follower->started());
+    CHECK(bench.follower->failing());
+    CHECK(bench.events.count(event_number::log_down) == 1);
+    bench.log.set_down(false);
+    bench.run(milliseconds(5'000));
+    CHECK(bench.follower->started());
+    CHECK(bench.folded == 3);
+    CHECK(bench.events.count(event_number::log_up) == 1);
+}
+
 TEST_CASE("an unreadable entry is passed over and told", "[follower]")
 {
     following bench;
