--- a/src/cell/allowance_planner.cpp
+++ b/src/cell/allowance_planner.cpp
@@ -21,6 +21,7 @@
 using impl::fitting_factor;
 using impl::masked;
 using impl::scaled;
+using impl::times_within;
 
 /// A raise goes at least to this part of the limit, so that small demands
 /// need one record; beyond it the allowance doubles.
@@ -58,6 +59,12 @@
     return any_above(left, right * 2) || any_above(right, left * 2);
 }
 
+/// The number of tasks whose sum is nearest to the amount.
+std::int64_t nearest_tasks(const resources& task, const resources& amount)
+{
+    return times_within(task, amount + divided(task, 2));
+}
+
 /// Starts a stopwatch that is not running yet.
 instant started(std::optional<instant>& since, instant now)
 {
@@ -149,6 +156,10 @@
             round.now - change.since >= settings_.unsettled_patience;
         return round.held == change.amount || (lapsed && !change.unclear);
     };
+    if (state.raise_read)
+    {
+        note_refusal(round, state);
+    }
     if (state.cut && is_over(*state.cut))
     {
         state.cut.reset();
@@ -164,6 +175,29 @@
     }
 }
 
+/// A raise that was read and did not change the allowance was refused: other
+/// shards took the room. Shards then try again at unlike times, the sooner the
+/// more often they were refused, so that none is always late.
+void allowance_planner::note_refusal(
+    const team_round& round, team_plan& state) const
+{
+    state.raise_refused = round.held != *state.raise_read;
+    state.raise_read.reset();
+    state.refusals = state.raise_refused ? state.refusals + 1 : 0;
+    if (state.raise_refused)
+    {
+        const std::uint64_t spread = impl::hash_name(
+            round.team.str(), impl::hash_name(shard_.str(), state.refusals));
+        const auto widest =
+            static_cast<std::uint64_t>(settings_.retry_spread.count()) /
+                state.refusals +
+            1;
+        state.yield_until =
+            round.now +
+            milliseconds{static_cast<milliseconds::rep>(spread % widest)};
+    }
+}
+
 void allowance_planner::plan_team(
     const team_round& round, team_plan& state, allowance_plan& made)
 {
@@ -333,7 +367,8 @@
     }
     else
     {
-        target = fair;
+        const resources& task = round.load.largest;
+        target = task.is_zero() ? fair : task * nearest_tasks(task, fair);
     }
     // Kinds that nobody else waits for are kept.
     const resources kept = round.held - masked(round.held, round.others);
@@ -356,7 +391,16 @@
 void allowance_planner::ask_for_more(
     const team_round& round, team_plan& state, allowance_plan& made)
 {
-    const resources amount = raised_amount(round);
+    const bool has_room =
+        !round.room.is_zero() && round.load.largest.fits_in(round.room);
+    if (!has_room)
+    {
+        state.room_since.reset();
+    }
+    const bool room_is_left =
+        has_room && round.now - started(state.room_since, round.now) >=
+                        settings_.left_after;
+    const resources amount = raised_amount(round, room_is_left);
     const bool waits = round.contended && round.now < state.yield_until;
     if (!waits && amount != round.held)
     {
@@ -364,7 +408,9 @@
         made.records.emplace_back(
             allowance_set{shard_, epoch_, round.team, amount});
     }
-    if (any_above(excess_over(round.need, round.held), round.room))
+    const resources missing = excess_over(round.need, round.held);
+    if (any_above(missing, round.room) || !round.wished.is_zero() ||
+        state.raise_refused)
     {
         wish(round, state, made);
     }
@@ -398,22 +444,42 @@
 }
 
 /// The allowance to ask for; the held one where no task's worth of room is
-/// there.
-resources allowance_planner::raised_amount(const team_round& round) const
+/// there. Where others wait too it is the fair part; wishes lag, so room that
+/// is left by all fair parts is split in proportion to what is missing.
+resources allowance_planner::raised_amount(
+    const team_round& round, bool room_is_left) const
 {
     resources desired = min(with_headroom(round.need), round.limit);
     if (round.contended)
     {
-        desired = max(fair_amount(round), round.load.largest);
-        desired = min(desired, round.need);
+        const resources missing = excess_over(round.need, round.held);
+        const resources part =
+            room_is_left
+                ? fair_part(round.room, missing, missing + round.others)
+                : resources{};
+        const resources fair = max(fair_amount(round), round.load.largest);
+        desired = min(max(fair, round.held + part), round.need);
     }
     const resources first = divided(round.limit, first_raise_divisor);
     const resources most = max(max(round.held, first), round.load.largest);
     const resources more = min(excess_over(desired, round.held), most);
-    const resources given = scaled(more, fitting_factor(more, round.room));
-    const resources least = min(round.load.largest, more);
-    const bool useful = !given.is_zero() && least.fits_in(given);
-    return useful ? round.held + given : round.held;
+    return round.held + whole_tasks(round, more);
+}
+
+/// What of an increase fits in the free room: in whole tasks, where their
+/// size is known and the increase is not all that is missing.
+resources
+allowance_planner::whole_tasks(const team_round& round, const resources& more)
+{
+    const bool is_all = excess_over(round.need, round.held).fits_in(more) &&
+                        more.fits_in(round.room);
+    const resources& task = round.load.largest;
+    if (is_all || task.is_zero())
+    {
+        return scaled(more, fitting_factor(more, round.room));
+    }
+    const std::int64_t wanted = nearest_tasks(task, more);
+    return task * std::min(wanted, times_within(task, round.room));
 }
 
 resources allowance_planner::with_headroom(const resources& need) const
@@ -456,8 +522,14 @@
 {
     if (const auto* set = std::get_if<allowance_set>(&record))
     {
-        settle(teams_[set->team].cut, set->amount, effect);
-        settle(teams_[set->team].raise, set->amount, effect);
+        team_plan& state = teams_[set->team];
+        settle(state.cut, set->amount, effect);
+        const bool raised = state.raise.has_value();
+        settle(state.raise, set->amount, effect);
+        if (raised && !state.raise && effect == verdict::ran)
+        {
+            state.raise_read = set->amount;
+        }
     }
     if (const auto* wanted = std::get_if<allowance_wanted>(&record))
     {
--- a/src/cell/allowance_planner.hpp
+++ b/src/cell/allowance_planner.hpp
@@ -47,8 +47,10 @@
     /// for owners that do not call `settled`: a log that takes it later still
     /// would change the allowance unseen.
     milliseconds unsettled_patience{30'000};
-    milliseconds turn{10'000}; ///< One task's worth is held that long.
-    milliseconds yield{2'000}; ///< After a turn, until the next raise.
+    milliseconds turn{10'000};        ///< One task's worth is held that long.
+    milliseconds yield{2'000};        ///< After a turn, until the next raise.
+    milliseconds left_after{1'000};   ///< Room free this long is left over.
+    milliseconds retry_spread{1'000}; ///< Most wait after a refused raise.
 };
 
 /// Splits each team's upper limit over the shards. Decides for one shard and
@@ -87,6 +89,11 @@
         std::optional<pending_change> cut;
         std::optional<pending_change> raise;
         std::optional<pending_change> wish;
+        /// A raise that the fold has read; what came of it shows next round.
+        std::optional<resources> raise_read;
+        bool raise_refused = false; ///< The last raise was.
+        std::uint64_t refusals = 0;
+        std::optional<instant> room_since; ///< Free while work waits here.
         std::optional<instant> idle_since;
         std::optional<instant> margin_since; ///< Others want the margin.
         std::optional<instant> satisfied_since;
@@ -124,6 +131,7 @@
         const cell_state& cell,
         const team_name& team,
         const team_load& load) const;
+    void note_refusal(const team_round& round, team_plan& state) const;
     void resolve_pending(const team_round& round, team_plan& state) const;
     void
     plan_team(const team_round& round, team_plan& state, allowance_plan& made);
@@ -141,7 +149,10 @@
     [[nodiscard]] milliseconds
     idle_wait(const team_round& round, const resources& surplus) const;
     [[nodiscard]] resources fair_amount(const team_round& round) const;
-    [[nodiscard]] resources raised_amount(const team_round& round) const;
+    [[nodiscard]] resources
+    raised_amount(const team_round& round, bool room_is_left) const;
+    [[nodiscard]] static resources
+    whole_tasks(const team_round& round, const resources& more);
     [[nodiscard]] resources with_headroom(const resources& need) const;
     void
     cut(const team_round& round,
--- a/src/cell/resource_split.cpp
+++ b/src/cell/resource_split.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <limits>
 
 namespace acaciastile::impl
 {
@@ -12,6 +13,9 @@
 
 using kind = std::int64_t;
 
+/// Added before rounding down, against errors of the representation.
+constexpr double rounding = 1e-6;
+
 /// Applies a function to each kind of three amounts.
 template<class Function>
 resources each_kind(
@@ -32,7 +36,8 @@
 kind part_of(kind amount, kind part, kind whole) noexcept
 {
     const double share = static_cast<double>(part) / static_cast<double>(whole);
-    return static_cast<kind>(std::floor(static_cast<double>(amount) * share));
+    return static_cast<kind>(
+        std::floor(static_cast<double>(amount) * share + rounding));
 }
 
 double fitting(kind amount, kind room) noexcept
@@ -54,9 +59,10 @@
 
 resources scaled(const resources& amount, double factor) noexcept
 {
-    auto times = [factor](kind value, kind, kind) {
+    auto times = [factor](kind value, kind, kind)
+    {
         return static_cast<kind>(
-            std::floor(static_cast<double>(value) * factor));
+            std::floor(static_cast<double>(value) * factor + rounding));
     };
     return each_kind(times, amount, {}, {});
 }
@@ -89,6 +95,18 @@
          fitting(amount.accelerators, room.accelerators)});
 }
 
+std::int64_t times_within(const resources& task, const resources& room) noexcept
+{
+    constexpr kind unlimited = std::numeric_limits<kind>::max();
+    auto times = [](kind one, kind all)
+    { return one > 0 ? std::max<kind>(all, 0) / one : unlimited; };
+    const kind fits = std::min(
+        {times(task.milli_processors, room.milli_processors),
+         times(task.memory_mib, room.memory_mib),
+         times(task.accelerators, room.accelerators)});
+    return fits == unlimited ? 0 : fits;
+}
+
 resources masked(const resources& amount, const resources& mask) noexcept
 {
     auto keep = [](kind value, kind wanted, kind)
--- a/src/cell/resource_split.hpp
+++ b/src/cell/resource_split.hpp
@@ -31,6 +31,11 @@
 [[nodiscard]] double
 fitting_factor(const resources& amount, const resources& room) noexcept;
 
+/// How many whole times the task fits in the room; kinds that are zero in it
+/// do not count. Zero for a task of nothing.
+[[nodiscard]] std::int64_t
+times_within(const resources& task, const resources& room) noexcept;
+
 /// Kinds of `amount` where `mask` is above zero, the others zero.
 [[nodiscard]] resources
 masked(const resources& amount, const resources& mask) noexcept;
--- a/tests/support/fakes/allowance_world.hpp
+++ b/tests/support/fakes/allowance_world.hpp
@@ -110,6 +110,10 @@
     [[nodiscard]] instant now() const { return now_; }
     [[nodiscard]] const cell_state& truth() const { return truth_; }
     [[nodiscard]] std::size_t records() const { return log_.size(); }
+    [[nodiscard]] const cell_record& record(std::size_t at) const
+    {
+        return log_[at];
+    }
     [[nodiscard]] std::size_t refused() const { return refused_; }
     [[nodiscard]] std::uint64_t plans() const { return plans_; }
     [[nodiscard]] std::uint64_t starts() const { return starts_; }
