--- a/src/domain/event_number.hpp
+++ b/src/domain/event_number.hpp
@@ -39,12 +39,25 @@
     log_up = 1051,
     snapshot_written = 1052,
     snapshot_loaded = 1053,
+    record_unreadable = 1054,
+    snapshot_missing = 1055,
+    snapshot_failed = 1056,
     configuration_in_force = 1060,
     allowance_changed = 1061,
     key_refused = 1062,
     member_joined = 1070,
     member_suspected = 1071,
     member_left = 1072,
+    // Entry.
+    listening = 4000,
+    certificates_reloaded = 4001,
+    certificates_kept = 4002,
+    requests_cut_off = 4003,
+    // Command line.
+    process_started = 5000,
+    stop_asked = 5001,
+    process_ended = 5002,
+    reload_asked = 5003,
 };
 
 struct event_kind
@@ -76,6 +89,9 @@
     {event_number::log_up, event_level::info, "log_up"},
     {event_number::snapshot_written, event_level::info, "snapshot_written"},
     {event_number::snapshot_loaded, event_level::info, "snapshot_loaded"},
+    {event_number::record_unreadable, event_level::fault, "record_unreadable"},
+    {event_number::snapshot_missing, event_level::fault, "snapshot_missing"},
+    {event_number::snapshot_failed, event_level::warn, "snapshot_failed"},
     {event_number::configuration_in_force,
      event_level::info,
      "configuration_in_force"},
@@ -84,6 +100,16 @@
     {event_number::member_joined, event_level::info, "member_joined"},
     {event_number::member_suspected, event_level::warn, "member_suspected"},
     {event_number::member_left, event_level::warn, "member_left"},
+    {event_number::listening, event_level::info, "listening"},
+    {event_number::certificates_reloaded,
+     event_level::info,
+     "certificates_reloaded"},
+    {event_number::certificates_kept, event_level::fault, "certificates_kept"},
+    {event_number::requests_cut_off, event_level::fault, "requests_cut_off"},
+    {event_number::process_started, event_level::info, "process_started"},
+    {event_number::stop_asked, event_level::info, "stop_asked"},
+    {event_number::process_ended, event_level::info, "process_ended"},
+    {event_number::reload_asked, event_level::info, "reload_asked"},
 });
 
 } // namespace acaciastile
--- /dev/null
+++ b/src/policy/fair_scheduler.cpp
@@ -0,0 +1,124 @@
+#include "policy/fair_scheduler.hpp"
+
+#include "policy/explainer.hpp"
+
+namespace acaciastile
+{
+
+using impl::job_slot;
+using impl::no_slot;
+using impl::team_slot;
+using impl::worker_slot;
+
+std::unique_ptr<scheduler>
+fair_scheduler::create(fair_scheduler_settings settings)
+{
+    return std::unique_ptr<scheduler>(new fair_scheduler(settings));
+}
+
+fair_scheduler::fair_scheduler(fair_scheduler_settings settings)
+    : state_(settings), placer_(state_)
+{
+}
+
+void fair_scheduler::set_rules(const rules& in_force)
+{
+    state_.set_rules(in_force);
+}
+
+void fair_scheduler::set_worker(const worker_entry& worker)
+{
+    state_.set_worker(worker);
+}
+
+void fair_scheduler::set_worker_state(const worker_id& id, worker_state state)
+{
+    state_.set_worker_state(id, state);
+}
+
+void fair_scheduler::remove_worker(const worker_id& id)
+{
+    state_.remove_worker(id);
+}
+
+void fair_scheduler::set_allowance(
+    const team_name& team, const resources& amount)
+{
+    state_.teams.set_allowance(team, amount);
+}
+
+void fair_scheduler::enqueue(const job_request& request)
+{
+    if (!request.waiting.empty())
+    {
+        state_.add_waiting(state_.open_job(request), request.waiting);
+    }
+}
+
+void fair_scheduler::withdraw(const job_id& job)
+{
+    job_slot slot = state_.jobs.find(job);
+    if (slot != no_slot)
+    {
+        state_.withdraw(slot);
+    }
+}
+
+void fair_scheduler::occupy(
+    const job_request& job, std::uint32_t index, const worker_id& worker)
+{
+    worker_slot where = state_.workers.find(worker);
+    if (where == no_slot)
+    {
+        return;
+    }
+    job_slot slot = state_.open_job(job);
+    state_.start(slot, index, where, job.each);
+}
+
+void fair_scheduler::end(const task_id& task, const task_end& how)
+{
+    job_slot slot = state_.jobs.find(task.job);
+    if (slot != no_slot && state_.jobs.at(slot).running.contains(task.index))
+    {
+        state_.judge_worker(slot, task.index, how);
+        state_.finish(slot, task.index);
+    }
+}
+
+void fair_scheduler::set_usage(const task_id&, const resources&) {}
+
+decisions fair_scheduler::decide(instant now, std::size_t limit)
+{
+    state_.now = now;
+    decisions made;
+    placer_.begin();
+    placer_.place_tier(impl::queue_tier::urgent, limit, made);
+    placer_.place_tier(impl::queue_tier::status, limit, made);
+    placer_.place_tier(impl::queue_tier::shared, limit, made);
+    return made;
+}
+
+result<void> fair_scheduler::judge(const job_request& request) const
+{
+    return impl::explainer(state_).judge(request);
+}
+
+result<explanation> fair_scheduler::explain(const job_id& job) const
+{
+    return impl::explainer(state_).explain(job);
+}
+
+resources fair_scheduler::usage_of(const team_name& team) const
+{
+    team_slot slot = state_.teams.find(team);
+    return slot == no_slot ? resources{} : state_.teams.at(slot).used;
+}
+
+resources fair_scheduler::demand_of(const team_name& team) const
+{
+    team_slot slot = state_.teams.find(team);
+    return slot == no_slot ? resources{} : state_.teams.at(slot).demand;
+}
+
+} // namespace acaciastile
