--- a/src/cell/allowance_planner.hpp
+++ b/src/cell/allowance_planner.hpp
@@ -43,8 +43,14 @@
     double headroom = 0.25; ///< Raised beyond the demand by this part.
     milliseconds wish_patience{2'000};  ///< Until a wish is written again.
     milliseconds reserve_after{10'000}; ///< Unused, where room is short.
-    milliseconds turn{10'000};          ///< One task's worth is held that long.
-    milliseconds yield{2'000};          ///< After a turn, until the next raise.
+    /// Then a record of which nothing was told counts as never written. Only
+    /// for owners that do not call `settled`: a log that takes it later still
+    /// would change the allowance unseen.
+    milliseconds unsettled_patience{30'000};
+    milliseconds turn{10'000};        ///< One task's worth is held that long.
+    milliseconds yield{2'000};        ///< After a turn, until the next raise.
+    milliseconds left_after{1'000};   ///< Room free this long is left over.
+    milliseconds retry_spread{1'000}; ///< Most wait after a refused raise.
 };
 
 /// Splits each team's upper limit over the shards. Decides for one shard and
@@ -64,8 +70,9 @@
     /// Tells what became of a record that `plan` returned: `ran` where the
     /// fold read it, accepted or not, `not_run` where it is proven never to
     /// reach the log. With `may_have_run` the record counts as still under
-    /// way: a cut then binds until the fold shows it. To be called for each
-    /// record, else a refused raise blocks its team on this shard.
+    /// way for as long as the fold does not show it: a cut binds, and no other
+    /// change of that team is made here. To be called for each record; one
+    /// that is not told of blocks its team for `unsettled_patience`.
     void settled(const cell_change& record, verdict effect);
 
 private:
@@ -74,6 +81,7 @@
     {
         resources amount;
         instant since{};
+        bool unclear = false; ///< Told that it may arrive at any time.
     };
 
     struct team_plan
@@ -81,7 +89,13 @@
         std::optional<pending_change> cut;
         std::optional<pending_change> raise;
         std::optional<pending_change> wish;
+        /// A raise that the fold has read; what came of it shows next round.
+        std::optional<resources> raise_read;
+        bool raise_refused = false; ///< The last raise was.
+        std::uint64_t refusals = 0;
+        std::optional<instant> room_since; ///< Free while work waits here.
         std::optional<instant> idle_since;
+        std::optional<instant> margin_since; ///< Others want the margin.
         std::optional<instant> satisfied_since;
         std::optional<instant> contended_since;
         std::optional<instant> over_since; ///< Of a lowered limit.
@@ -108,11 +122,16 @@
         bool contended = false;
     };
 
+    static void settle(
+        std::optional<pending_change>& pending,
+        const resources& amount,
+        verdict effect);
     [[nodiscard]] team_round make_round(
         instant now,
         const cell_state& cell,
         const team_name& team,
         const team_load& load) const;
+    void note_refusal(const team_round& round, team_plan& state) const;
     void resolve_pending(const team_round& round, team_plan& state) const;
     void
     plan_team(const team_round& round, team_plan& state, allowance_plan& made);
@@ -130,7 +149,10 @@
     [[nodiscard]] milliseconds
     idle_wait(const team_round& round, const resources& surplus) const;
     [[nodiscard]] resources fair_amount(const team_round& round) const;
-    [[nodiscard]] resources raised_amount(const team_round& round) const;
+    [[nodiscard]] resources
+    raised_amount(const team_round& round, bool room_is_left) const;
+    [[nodiscard]] static resources
+    whole_tasks(const team_round& round, const resources& more);
     [[nodiscard]] resources with_headroom(const resources& need) const;
     void
     cut(const team_round& round,
--- a/src/policy/fair_scheduler.cpp
+++ b/src/policy/fair_scheduler.cpp
@@ -17,7 +17,10 @@
 }
 
 fair_scheduler::fair_scheduler(fair_scheduler_settings settings)
-    : state_(settings), placer_(state_)
+    : state_(settings),
+      reservations_(state_),
+      preemptor_(state_, reservations_),
+      placer_(state_, reservations_, preemptor_)
 {
 }
 
@@ -81,21 +84,40 @@
     job_slot slot = state_.jobs.find(task.job);
     if (slot != no_slot && state_.jobs.at(slot).running.contains(task.index))
     {
-        state_.judge_worker(slot, task.index, how);
+        state_.learn(slot, task.index, how);
         state_.finish(slot, task.index);
     }
 }
 
-void fair_scheduler::set_usage(const task_id&, const resources&) {}
+void fair_scheduler::set_usage(const task_id& task, const resources& usage)
+{
+    job_slot slot = state_.jobs.find(task.job);
+    if (slot != no_slot && state_.jobs.at(slot).running.contains(task.index))
+    {
+        state_.set_usage(slot, task.index, usage);
+    }
+}
 
 decisions fair_scheduler::decide(instant now, std::size_t limit)
 {
     state_.now = now;
     decisions made;
+    reservations_.refresh();
+    preemptor_.refresh();
     placer_.begin();
     placer_.place_tier(impl::queue_tier::urgent, limit, made);
+    if (made.placements.size() < limit)
+    {
+        preemptor_.make_room_for_urgent(made);
+    }
     placer_.place_tier(impl::queue_tier::status, limit, made);
+    placer_.place_reserved(limit, made);
     placer_.place_tier(impl::queue_tier::shared, limit, made);
+    if (made.placements.size() < limit)
+    {
+        reservations_.plan();
+        preemptor_.make_room_for_reserved(made);
+    }
     return made;
 }
 
--- a/src/policy/fair_scheduler.hpp
+++ b/src/policy/fair_scheduler.hpp
@@ -3,6 +3,8 @@
 #include "policy/decision_state.hpp"
 #include "policy/fair_scheduler_settings.hpp"
 #include "policy/placer.hpp"
+#include "policy/preemptor.hpp"
+#include "policy/reservations.hpp"
 #include "policy/scheduler.hpp"
 
 #include <memory>
@@ -41,6 +43,8 @@
     explicit fair_scheduler(fair_scheduler_settings settings);
 
     impl::decision_state state_;
+    impl::reservations reservations_;
+    impl::preemptor preemptor_;
     impl::placer placer_;
 };
 
