--- a/src/cli/dev/sample_mix.cpp
+++ b/src/cli/dev/sample_mix.cpp
@@ -14,7 +14,9 @@
 constexpr std::int64_t milli = 1'000;
 constexpr std::int64_t gibibyte = 1'024; ///< In mebibytes.
 constexpr milliseconds request_deadline{20'000};
-constexpr std::uint32_t service_executors = 50;
+/// A service runs as one job for each data centre, about 50 executors in all.
+constexpr std::size_t service_data_centres = 4;
+constexpr std::uint32_t service_executors = 12;
 
 /// A kind of work that recurs in the mix. Ranges are drawn evenly.
 struct work_template
@@ -334,18 +336,21 @@
     add_refused(maker, items);
     add_cancelled(maker, size / jobs_for_one_cancelled + 1, items);
     maker.shuffle(items);
-    const mix_item services[] = {
-        maker.make(service(
+    std::vector<mix_item> services;
+    for (std::size_t centre = 0; centre < service_data_centres; ++centre)
+    {
+        services.push_back(maker.make(service(
             "planning-service",
             "planning",
             "planning-service",
-            {8 * milli, 8 * gibibyte, 0})),
-        maker.make(service(
+            {8 * milli, 8 * gibibyte, 0})));
+        services.push_back(maker.make(service(
             "billing-service",
             "billing",
             "billing-service",
-            {4 * milli, 8 * gibibyte, 0}))};
-    items.insert(items.begin(), std::begin(services), std::end(services));
+            {4 * milli, 8 * gibibyte, 0})));
+    }
+    items.insert(items.begin(), services.begin(), services.end());
     return items;
 }
 
--- a/src/cli/serve_process.cpp
+++ b/src/cli/serve_process.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr milliseconds finish_poll{20};
+constexpr milliseconds measure_interval{1'000};
 
 std::uint64_t draw_seed()
 {
@@ -132,15 +133,33 @@
     {
         return made;
     }
-    thread_->start(
-        [this](instant now)
-        {
-            cell_->tick(now);
-            entry_->tick(now);
-        });
+    thread_->start([this](instant now) { tick(now); });
     return {};
 }
 
+void serve_process::tick(instant now)
+{
+    cell_->tick(now);
+    entry_->tick(now);
+    if (now >= next_measure_)
+    {
+        next_measure_ = now + measure_interval;
+        measure_traffic();
+    }
+}
+
+void serve_process::measure_traffic()
+{
+    const http_client_counts counts = client_->counts();
+    measured_->gauge("control_calls", "", static_cast<double>(counts.calls));
+    measured_->gauge(
+        "control_bytes_sent", "", static_cast<double>(counts.bytes_sent));
+    measured_->gauge(
+        "control_bytes_received",
+        "",
+        static_cast<double>(counts.bytes_received));
+}
+
 void serve_process::reload()
 {
     events_->emit({event_number::reload_asked, {}});
--- a/src/cli/serve_process.hpp
+++ b/src/cli/serve_process.hpp
@@ -45,8 +45,11 @@
     [[nodiscard]] result<void> make_instance();
     [[nodiscard]] result<void> make_entry();
     [[nodiscard]] bool wait_finished(instant until);
+    void tick(instant now);
+    void measure_traffic();
 
     serve_settings settings_;
+    instant next_measure_{};
     real_clock clock_;
     std::unique_ptr<log_events> events_;
     std::unique_ptr<metrics> measured_;
--- a/src/entry/api_reply.hpp
+++ b/src/entry/api_reply.hpp
@@ -15,6 +15,7 @@
     std::string content_type = "application/json";
     /// When the caller should come back; goes into `Retry-After`.
     std::optional<std::chrono::seconds> retry_after;
+    std::string refusal; ///< Code of a refusal, for the metrics.
 };
 
 } // namespace acaciastile
--- a/src/entry/error_reply.cpp
+++ b/src/entry/error_reply.cpp
@@ -90,6 +90,7 @@
     const nlohmann::json whole{{"error", std::move(inside)}};
     api_reply reply;
     reply.status = http_status_of(refused.code);
+    reply.refusal = to_string(refused.code);
     reply.body =
         whole.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     if (may_pass_later(refused.code))
--- a/src/entry/handle_request.cpp
+++ b/src/entry/handle_request.cpp
@@ -14,7 +14,6 @@
 {
 
 constexpr std::string_view bearer = "Bearer ";
-constexpr int first_error_status = 400;
 
 result<presented_key> read_key(const std::string& header)
 {
@@ -114,9 +113,9 @@
     metric_sink& measured = *shared.measurements;
     measured.count("http_requests", name, 1);
     measured.sample("http_seconds", name, took.count());
-    if (reply.status >= first_error_status)
+    if (!reply.refusal.empty())
     {
-        measured.count("http_errors", std::to_string(reply.status), 1);
+        measured.count("http_refusals", reply.refusal, 1);
     }
     return reply;
 }
--- a/tests/observe/metrics_test.cpp
+++ b/tests/observe/metrics_test.cpp
@@ -11,23 +11,23 @@
 TEST_CASE("counters and distributions are exposed as text", "[metrics]")
 {
     auto measured = metrics::create();
-    measured->count("refusals", "malformed", 2);
-    measured->gauge("log_age_seconds", "", 1.5);
+    measured->count("http_refusals", "malformed", 2);
+    measured->gauge("log_age_ms", "", 1.5);
     for (int value = 1; value <= 10; ++value)
     {
-        measured->sample("waiting_seconds", "urgent", value);
+        measured->sample("http_seconds", "submit", value);
     }
     const std::string text = measured->expose();
     CHECK_THAT(
-        text, Contains("acaciastile_refusals_total{code=\"malformed\"} 2\n"));
-    CHECK_THAT(text, Contains("acaciastile_log_age_seconds 1.5\n"));
+        text, Contains("acaciastile_http_refusals_total{code=\"malformed\"} 2\n"));
+    CHECK_THAT(text, Contains("acaciastile_log_age_ms 1.5\n"));
     CHECK_THAT(
         text,
-        Contains("acaciastile_waiting_seconds{class=\"urgent\","
+        Contains("acaciastile_http_seconds{route=\"submit\","
                  "quantile=\"0.5\"} 5\n"));
     CHECK_THAT(
         text,
-        Contains("acaciastile_waiting_seconds_count{class=\"urgent\"} 10\n"));
+        Contains("acaciastile_http_seconds_count{route=\"submit\"} 10\n"));
 }
 
 TEST_CASE("the estimated tail stays near the true one", "[metrics]")
