--- a/src/entry/handle_request.cpp
+++ b/src/entry/handle_request.cpp
@@ -86,6 +86,14 @@
              "too many requests are in hand",
              {}});
     }
+    if (!read.trusted)
+    {
+        return make_error_reply(
+            {refusal_code::unauthenticated,
+             verdict::not_run,
+             "a certificate of the callers' CA is needed",
+             {}});
+    }
     auto key = read_key(read.authorization);
     if (!key)
     {
--- a/src/entry/handle_request.hpp
+++ b/src/entry/handle_request.hpp
@@ -13,6 +13,7 @@
 {
     api_request request;
     std::string authorization; ///< The header's text; empty where none came.
+    bool trusted = true;       ///< False: no certificate of the CA of callers.
 };
 
 /// Checks the bounds and the header, calls the route's handler and measures.
--- a/src/entry/http_daemon.cpp
+++ b/src/entry/http_daemon.cpp
@@ -3,6 +3,7 @@
 #include "entry/handle_request.hpp"
 
 #include <absl/cleanup/cleanup.h>
+#include <gnutls/gnutls.h>
 #include <ulfius.h>
 #include <unistd.h>
 
@@ -14,6 +15,26 @@
 
 constexpr std::size_t thread_stack_bytes = 256 * 1024;
 
+/// Whether the request in hand came from a caller whose certificate is
+/// accepted. A connection has a thread of its own, which handles one request
+/// after the other.
+thread_local bool caller_is_trusted = true;
+
+/// True where the other side showed a certificate of the CA of callers.
+bool has_trusted_certificate(MHD_Connection* connection)
+{
+    const MHD_ConnectionInfo* found =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_GNUTLS_SESSION);
+    if (found == nullptr)
+    {
+        return false;
+    }
+    auto* session = static_cast<gnutls_session_t>(found->tls_session);
+    unsigned int faults = 0;
+    return gnutls_certificate_verify_peers2(session, &faults) == 0 &&
+           faults == 0;
+}
+
 std::map<std::string, std::string> read_variables(const _u_map* map)
 {
     std::map<std::string, std::string> read;
@@ -74,8 +95,10 @@
     on_request(const _u_request* from, _u_response* to, void* user_data)
     {
         auto& self = *static_cast<endpoint*>(user_data);
-        const api_reply reply = handle_request(
-            self.owner->shared_, self.route, read_request(*from));
+        raw_request read = read_request(*from);
+        read.trusted = caller_is_trusted;
+        const api_reply reply =
+            handle_request(self.owner->shared_, self.route, std::move(read));
         write_reply(reply, self.owner->closing_.load(), *to);
         return U_CALLBACK_COMPLETE;
     }
@@ -97,9 +120,13 @@
         }
     }
 
-    static void* on_first_line(void* user_data, const char* uri)
+    static void*
+    on_first_line(void* user_data, const char* uri, MHD_Connection* connection)
     {
-        static_cast<traffic_counter*>(user_data)->begin();
+        auto& owner = *static_cast<http_daemon*>(user_data);
+        owner.traffic_.begin();
+        caller_is_trusted = owner.material_.client_ca.empty() ||
+                            has_trusted_certificate(connection);
         return ulfius_uri_logger(nullptr, uri);
     }
 
@@ -194,7 +221,7 @@
     };
     const listener_settings& bounds = shared_.settings;
     std::vector<MHD_OptionItem> options{
-        item(MHD_OPTION_URI_LOG_CALLBACK, &endpoint::on_first_line, &traffic_),
+        item(MHD_OPTION_URI_LOG_CALLBACK, &endpoint::on_first_line, this),
         item(MHD_OPTION_NOTIFY_COMPLETED, &endpoint::on_completed, &traffic_),
         item(MHD_OPTION_NOTIFY_CONNECTION, &endpoint::on_connection, &traffic_),
         item(MHD_OPTION_LISTEN_SOCKET, descriptor, nullptr),
--- a/tests/observe/metrics_test.cpp
+++ b/tests/observe/metrics_test.cpp
@@ -19,7 +19,8 @@
     }
     const std::string text = measured->expose();
     CHECK_THAT(
-        text, Contains("acaciastile_http_refusals_total{code=\"malformed\"} 2\n"));
+        text,
+        Contains("acaciastile_http_refusals_total{code=\"malformed\"} 2\n"));
     CHECK_THAT(text, Contains("acaciastile_log_age_ms 1.5\n"));
     CHECK_THAT(
         text,
