--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run test build install policy-bench
+.PHONY: run test build install policy-bench capacity membership-bench
 
 # Installs what is missing, builds, and runs the main job on the embedded
 # platform.
@@ -21,3 +21,12 @@
 	mkdir -p out
 	build/release/bench/policy_cost
 	build/release/bench/policy_outcomes
+
+# Measures how each role's costs grow; docs/CAPACITY.md reads them off at the
+# size that the system is designed for.
+capacity: build
+	build/release/bench/capacity --out=build/capacity.json
+
+# Measures what membership costs a member at rising numbers of members.
+membership-bench: build
+	build/release/bench/membership_cost
--- a/src/cell/resource_split.cpp
+++ b/src/cell/resource_split.cpp
@@ -107,6 +107,20 @@
     return fits == unlimited ? 0 : fits;
 }
 
+std::int64_t
+nearest_tasks(const resources& task, const resources& amount) noexcept
+{
+    return times_within(task, amount + divided(task, 2));
+}
+
+resources divided(const resources& amount, std::int64_t divisor) noexcept
+{
+    return {
+        amount.milli_processors / divisor,
+        amount.memory_mib / divisor,
+        amount.accelerators / divisor};
+}
+
 resources masked(const resources& amount, const resources& mask) noexcept
 {
     auto keep = [](kind value, kind wanted, kind)
--- a/src/cell/resource_split.hpp
+++ b/src/cell/resource_split.hpp
@@ -2,6 +2,8 @@
 
 #include "domain/resources.hpp"
 
+#include <cstdint>
+
 namespace acaciastile::impl
 {
 
@@ -36,6 +38,14 @@
 [[nodiscard]] std::int64_t
 times_within(const resources& task, const resources& room) noexcept;
 
+/// The number of tasks whose sum is nearest to the amount.
+[[nodiscard]] std::int64_t
+nearest_tasks(const resources& task, const resources& amount) noexcept;
+
+/// Each kind divided, rounded down.
+[[nodiscard]] resources
+divided(const resources& amount, std::int64_t divisor) noexcept;
+
 /// Kinds of `amount` where `mask` is above zero, the others zero.
 [[nodiscard]] resources
 masked(const resources& amount, const resources& mask) noexcept;
