--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -29,6 +29,7 @@
         {"shard-map", measure_shard_map},
         {"allowances", measure_allowances},
         {"messages", measure_messages},
+        {"transport", measure_transport},
         {"shard", measure_shard_state},
         {"instance", measure_instance},
         {"member", measure_member_role}};
--- a/bench/support/capacity_instance.cpp
+++ b/bench/support/capacity_instance.cpp
@@ -28,10 +28,12 @@
 double cpu_of_run(instance_rig& rig, milliseconds time)
 {
     rig.gateway().counting = false;
+    rig.log().counting = false;
     const auto before = cpu_time();
     rig.run_for(time);
     const std::chrono::duration<double> used = cpu_time() - before;
     rig.gateway().counting = true;
+    rig.log().counting = true;
     return used.count();
 }
 
@@ -41,7 +43,9 @@
     capacity_series& cpu,
     capacity_series& memory,
     capacity_series& bytes,
-    capacity_series& calls)
+    capacity_series& calls,
+    capacity_series& log_bytes,
+    capacity_series& log_reads)
 {
     constexpr seconds time{60};
     const double before = heap_in_use();
@@ -55,6 +59,8 @@
     const auto& counts = rig.gateway();
     const std::uint64_t sent = counts.bytes_sent + counts.bytes_received;
     const std::uint64_t called = counts.calls;
+    const std::uint64_t read = rig.log().reads;
+    const std::uint64_t log_before = rig.log().bytes;
     rig.run_for(time);
     const auto span = static_cast<double>(time.count());
     bytes.points.push_back(
@@ -63,6 +69,10 @@
              span});
     calls.points.push_back(
         {size, static_cast<double>(counts.calls - called) / span});
+    log_reads.points.push_back(
+        {size, static_cast<double>(rig.log().reads - read) / span});
+    log_bytes.points.push_back(
+        {size, static_cast<double>(rig.log().bytes - log_before) / span});
     cpu.points.push_back({size, cpu_of_run(rig, time) * 1e3 / span});
     if (rig.running_tasks() != tasks)
     {
@@ -121,9 +131,19 @@
         "1/s",
         "workers",
         letter::workers_an_instance);
+    auto log_bytes = instance_series(
+        "steady: log bodies, both ways",
+        "bytes/s",
+        "workers",
+        letter::workers_an_instance);
+    auto log_reads = instance_series(
+        "steady: reads of the log",
+        "1/s",
+        "workers",
+        letter::workers_an_instance);
     for (std::size_t workers : {27, 54, 107, 128})
     {
-        add_steady(workers, cpu, memory, bytes, calls);
+        add_steady(workers, cpu, memory, bytes, calls, log_bytes, log_reads);
     }
     const double share = static_cast<double>(letter::starts_a_second) /
                          static_cast<double>(letter::instances);
@@ -137,7 +157,8 @@
     {
         add_starts(tasks, work, logged, appends);
     }
-    return {cpu, memory, bytes, calls, work, logged, appends};
+    return {
+        cpu, memory, bytes, calls, log_bytes, log_reads, work, logged, appends};
 }
 
 } // namespace acaciastile::bench
--- a/bench/support/capacity_measures.hpp
+++ b/bench/support/capacity_measures.hpp
@@ -21,6 +21,10 @@
 /// against shards.
 [[nodiscard]] std::vector<capacity_series> measure_allowances();
 
+/// Beats over the HTTP adapter on loopback, with the stand-in platform in
+/// the same process.
+[[nodiscard]] std::vector<capacity_series> measure_transport();
+
 /// Bytes and processor time of messages to workers and of records of jobs.
 [[nodiscard]] std::vector<capacity_series> measure_messages();
 
--- a/bench/support/instance_rig.cpp
+++ b/bench/support/instance_rig.cpp
@@ -88,7 +88,8 @@
       counted_(std::make_unique<counting_worker_gateway>(*workers_gateway_)),
       vms_(std::make_unique<embedded_vm_list_view>(platform_.vms, own_name)),
       peer_gateway_(std::make_unique<embedded_peer_gateway>(peers_, own_name)),
-      log_(std::make_unique<embedded_log_view>(platform_.log, own_name))
+      log_(std::make_unique<embedded_log_view>(platform_.log, own_name)),
+      counted_log_(std::make_unique<counting_log_service>(*log_, own_name))
 {
     timers_.run_until(beginning);
     for (std::size_t n = 0; n < workers; ++n)
@@ -112,7 +113,7 @@
     settings.bootstrap_key = first_key().entry;
     operator_key_ = first_key().presented;
     instance_ports ports;
-    ports.log = log_.get();
+    ports.log = counted_log_.get();
     ports.vms = vms_.get();
     ports.workers = counted_.get();
     ports.peers = peer_gateway_.get();
--- a/bench/support/instance_rig.hpp
+++ b/bench/support/instance_rig.hpp
@@ -5,6 +5,7 @@
 #include "platform/embedded/embedded_vm_list.hpp"
 #include "platform/embedded/stand_in_platform.hpp"
 #include "platform/http/worker_messages.hpp"
+#include "support/counting_log_service.hpp"
 #include "support/letter_content.hpp"
 
 #include <cstdint>
@@ -54,6 +55,7 @@
 
     [[nodiscard]] instance& running() { return *instance_; }
     [[nodiscard]] counting_worker_gateway& gateway() { return *counted_; }
+    [[nodiscard]] counting_log_service& log() { return *counted_log_; }
     [[nodiscard]] const embedded_log_counts& log_counts() const
     {
         return platform_.log.counts();
@@ -79,6 +81,7 @@
     std::unique_ptr<embedded_vm_list_view> vms_;
     std::unique_ptr<embedded_peer_gateway> peer_gateway_;
     std::unique_ptr<embedded_log_view> log_;
+    std::unique_ptr<counting_log_service> counted_log_;
     std::mt19937_64 random_{1};
     std::string operator_key_;
     std::string team_key_;
