--- a/src/policy/job_table.hpp
+++ b/src/policy/job_table.hpp
@@ -3,6 +3,7 @@
 #include "domain/rules.hpp"
 #include "policy/job_request.hpp"
 #include "policy/queue_tier.hpp"
+#include "policy/run_estimates.hpp"
 #include "policy/slots.hpp"
 #include "policy/waiting_jobs.hpp"
 
@@ -21,6 +22,7 @@
 {
     worker_slot worker = no_slot;
     resources charged; ///< What it counts for on its worker.
+    resources granted; ///< What it counts for in its team's allowance.
     instant since{};
     bool leaving = false; ///< A checkpoint was asked for.
     bool probe = false;   ///< Tries out a quarantined worker.
@@ -46,7 +48,9 @@
     job_request request; ///< Its list of waiting tasks is kept below.
     team_slot team = no_slot;
     queue_policy queue;
-    std::uint64_t order = 0; ///< Ties of equal queueing times.
+    run_group group = no_slot; ///< Of its team and name.
+    instant rank{};            ///< Its time in its team's queue.
+    std::uint64_t order = 0;   ///< Ties of equal ranks.
     std::uint16_t filed_class = 0;
     bool filed = false; ///< Stands in the queue of its team.
     /// Workers on which a task of it failed, while none succeeded.
@@ -67,12 +71,6 @@
     {
         return waiting.empty() && running.empty();
     }
-    /// What has to fit into the team's allowance at once.
-    [[nodiscard]] resources need() const
-    {
-        auto count = static_cast<std::int64_t>(waiting.size());
-        return is_gang() ? request.each * count : request.each;
-    }
 };
 
 /// The jobs known to one scheduler, in slots that are used again.
@@ -90,7 +88,7 @@
     [[nodiscard]] job_entry& at(job_slot slot) { return jobs_[slot]; }
     [[nodiscard]] queue_key key_of(job_slot slot) const
     {
-        return {jobs_[slot].request.queued_at, jobs_[slot].order, slot};
+        return {jobs_[slot].rank, jobs_[slot].order, slot};
     }
     /// Forgets a job of which nothing waits or runs.
     void close(job_slot slot);
