Waves of cancellations are noted at once and worked off in parts

Change: beyond 1,000 between two decisions a cancelled job is noted in a list and a bit table, is not placed any more and is taken out with 1,000 others in each call. Services are spread over racks and data centres. The reasons of explain gain reserved and closed. Headroom is found through an index of its own and the classes worth trying are worked out once for many teams.

--- a/bench/policy_cost.cpp
+++ b/bench/policy_cost.cpp
@@ -82,16 +82,22 @@
     told["hundred"] = tell("100 ends", rig.churn(100, seconds));
     cancel_times cancelled = rig.cancel();
     std::cout << absl::StrFormat(
-        "    %d cancellations: %.2f ms in a row, next decision %.3f ms; "
-        "longest slice of 1,000 with a decision %.3f ms\n",
+        "    %d cancellations: %.2f ms in a row, next decision %.3f ms with %d "
+        "placements; "
+        "longest decision between slices of 1,000 %.3f ms, "
+        "longest slice with its decision %.3f ms\n",
         cancelled.cancelled,
         cancelled.all_ms,
         cancelled.next_call_ms,
+        cancelled.next_placements,
+        cancelled.decision_ms,
         cancelled.slice_ms);
     told["cancel"] = {
         {"cancelled", cancelled.cancelled},
         {"all_ms", cancelled.all_ms},
         {"next_call_ms", cancelled.next_call_ms},
+        {"next_placements", cancelled.next_placements},
+        {"decision_ms", cancelled.decision_ms},
         {"slice_ms", cancelled.slice_ms}};
     return told;
 }
--- a/bench/support/policy_cost_rig.cpp
+++ b/bench/support/policy_cost_rig.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr std::size_t fill_limit = 1'000;
+constexpr std::size_t usual_limit = 100;
 constexpr std::size_t slice = 1'000;
 constexpr std::size_t job_tasks = 4;
 constexpr double fill_seconds = 10.0;
@@ -214,7 +215,10 @@
     }
     times.all_ms = us_since(start) / 1000.0;
     start = std::chrono::steady_clock::now();
-    take(deciding_.decide(instant(milliseconds(++now_ms_)), fill_limit));
+    decisions next =
+        deciding_.decide(instant(milliseconds(++now_ms_)), usual_limit);
+    times.next_placements = next.placements.size();
+    take(next);
     times.next_call_ms = us_since(start) / 1000.0;
     for (std::size_t at = half; at < wave.size(); at += slice)
     {
@@ -225,7 +229,12 @@
         {
             deciding_.withdraw(wave[one]);
         }
-        take(deciding_.decide(instant(milliseconds(++now_ms_)), fill_limit));
+        auto decided = std::chrono::steady_clock::now();
+        decisions made =
+            deciding_.decide(instant(milliseconds(++now_ms_)), usual_limit);
+        times.decision_ms =
+            std::max(times.decision_ms, us_since(decided) / 1000.0);
+        take(made);
         times.slice_ms = std::max(times.slice_ms, us_since(start) / 1000.0);
     }
     return times;
--- a/bench/support/policy_cost_rig.hpp
+++ b/bench/support/policy_cost_rig.hpp
@@ -32,9 +32,11 @@
 struct cancel_times
 {
     std::size_t cancelled = 0;
-    double all_ms = 0.0;       ///< Every call of `withdraw` in a row.
-    double next_call_ms = 0.0; ///< The next call of `decide`.
-    double slice_ms = 0.0;     ///< Longest slice of 1,000 with its decision.
+    double all_ms = 0.0;             ///< Every call of `withdraw` in a row.
+    double next_call_ms = 0.0;       ///< The next call of `decide`.
+    std::size_t next_placements = 0; ///< Which that call made.
+    double decision_ms = 0.0;        ///< Longest decision after a slice.
+    double slice_ms = 0.0; ///< Longest slice of 1,000 with its decision.
 };
 
 /// Drives one scheduler at a given size without any model of time: tasks end
--- a/src/policy/decision_state.cpp
+++ b/src/policy/decision_state.cpp
@@ -11,6 +11,9 @@
 /// Distinct workers on which a job fails before it is held to fail anywhere.
 constexpr std::size_t fails_everywhere = 3;
 
+/// Cancelled jobs that are taken out of the tables between two decisions.
+constexpr std::size_t withdrawn_of_call = 1'000;
+
 /// Expected of a run of which nothing is known.
 constexpr milliseconds unknown_run{600'000};
 
@@ -177,6 +180,46 @@
     drop_if_idle(slot);
 }
 
+void decision_state::withdraw_known(const job_id& job)
+{
+    job_slot slot = jobs.find(job);
+    if (slot != no_slot)
+    {
+        withdraw(slot);
+    }
+}
+
+void decision_state::withdraw_later(const job_id& job)
+{
+    if (withdrawn_at_once_ < withdrawn_of_call)
+    {
+        ++withdrawn_at_once_;
+        withdraw_known(job);
+        return;
+    }
+    withdrawn.add(job);
+}
+
+void decision_state::withdraw_now(const job_id& job)
+{
+    withdrawn.erase(job);
+    withdraw_known(job);
+}
+
+void decision_state::work_off_withdrawn()
+{
+    withdrawn_at_once_ = 0;
+    for (std::size_t done = 0; done < withdrawn_of_call; ++done)
+    {
+        std::optional<job_id> job = withdrawn.next();
+        if (!job)
+        {
+            return;
+        }
+        withdraw_known(*job);
+    }
+}
+
 resources decision_state::need_of(const job_entry& job) const
 {
     resources granted = min(charge_of(job), job.request.each);
--- a/src/policy/decision_state.hpp
+++ b/src/policy/decision_state.hpp
@@ -6,6 +6,7 @@
 #include "policy/share_order.hpp"
 #include "policy/team_ledger.hpp"
 #include "policy/waiting_jobs.hpp"
+#include "policy/withdrawals.hpp"
 #include "policy/worker_health.hpp"
 #include "policy/worker_pool.hpp"
 
@@ -33,6 +34,13 @@
     void add_waiting(job_slot slot, const std::vector<std::uint32_t>& indexes);
     void remove_waiting(job_slot slot, std::uint32_t index);
     void withdraw(job_slot slot);
+    /// Notes a cancelled job; beyond a number in one call it is taken out
+    /// later, and not placed until then.
+    void withdraw_later(const job_id& job);
+    /// Takes out a bounded number of noted jobs.
+    void work_off_withdrawn();
+    /// Takes out one noted job.
+    void withdraw_now(const job_id& job);
 
     /// What one task of a job counts for on a worker.
     [[nodiscard]] resources charge_of(const job_entry& job) const;
@@ -76,6 +84,7 @@
     job_table jobs;
     room_memory without_room;
     worker_health health;
+    withdrawals withdrawn;
     run_estimates estimates;
     std::array<std::vector<waiting_jobs>, queue_tiers> waiting;
     std::array<share_order, queue_tiers> orders;
@@ -83,11 +92,15 @@
     instant now{};
 
 private:
+    std::size_t withdrawn_at_once_ = 0;
+
     [[nodiscard]] instant rank_of(const job_entry& job) const;
     void unfile(job_slot slot);
+    void withdraw_known(const job_id& job);
     void reorder(team_slot team);
     void reorder_all();
     void drop_if_idle(job_slot slot);
+
     [[nodiscard]] blame blame_of(const job_entry& job, bool told) const;
 };
 
--- a/src/policy/explainer.cpp
+++ b/src/policy/explainer.cpp
@@ -61,13 +61,37 @@
     return before + 1;
 }
 
+explanation explainer::explain_room(job_slot slot) const
+{
+    const job_entry& job = state_.jobs.at(slot);
+    resources size = state_.charge_of(job);
+    if (state_.workers.count_open_that_could(size) == 0)
+    {
+        return told(
+            "closed",
+            "every worker that could hold it is closed or quarantined");
+    }
+    if (reserved_.has(slot))
+    {
+        return told("reserved", "room is being kept for it until it fits");
+    }
+    if (state_.workers.count_with_room(size) == 0)
+    {
+        return told("room", "no open worker has room for one task of it now");
+    }
+    if (job.is_gang())
+    {
+        return told("gang", "there is no room for all its tasks at once");
+    }
+    return told("order", "other work goes first; there is room for a task");
+}
+
 explanation explainer::explain_wait(job_slot slot) const
 {
     const job_entry& job = state_.jobs.at(slot);
     resources size = state_.charge_of(job);
     job_request whole = job.request;
     whole.waiting.assign(job.waiting.begin(), job.waiting.end());
-    std::size_t fit = state_.workers.count_with_room(size);
     explanation why;
     if (auto possible = judge(whole); !possible)
     {
@@ -80,20 +104,12 @@
             "team '" + job.request.team.str() +
                 "' has too little of its allowance left here");
     }
-    else if (fit == 0)
-    {
-        why = told("room", "no open worker has room for one task of it now");
-    }
-    else if (job.is_gang())
-    {
-        why = told("gang", "there is no room for all its tasks at once");
-    }
     else
     {
-        why = told("order", "other work goes first; there is room for a task");
+        why = explain_room(slot);
     }
     why.place_in_queue = place_in_queue(slot);
-    why.workers_that_fit = fit;
+    why.workers_that_fit = state_.workers.count_with_room(size);
     why.workers_that_could = state_.workers.count_that_could(size);
     return why;
 }
@@ -101,7 +117,7 @@
 result<explanation> explainer::explain(const job_id& job) const
 {
     job_slot slot = state_.jobs.find(job);
-    if (slot == no_slot)
+    if (slot == no_slot || state_.withdrawn.contains(job))
     {
         return refuse(
             refusal_code::unknown_job,
--- a/src/policy/explainer.hpp
+++ b/src/policy/explainer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/decision_state.hpp"
+#include "policy/reservations.hpp"
 
 namespace acaciastile::impl
 {
@@ -10,7 +11,10 @@
 class explainer
 {
 public:
-    explicit explainer(const decision_state& state) : state_(state) {}
+    explainer(const decision_state& state, const reservations& reserved)
+        : state_(state), reserved_(reserved)
+    {
+    }
 
     /// Errors: `can_never_run`.
     [[nodiscard]] result<void> judge(const job_request& request) const;
@@ -20,8 +24,10 @@
 private:
     [[nodiscard]] std::size_t place_in_queue(job_slot slot) const;
     [[nodiscard]] explanation explain_wait(job_slot slot) const;
+    [[nodiscard]] explanation explain_room(job_slot slot) const;
 
     const decision_state& state_;
+    const reservations& reserved_;
 };
 
 } // namespace acaciastile::impl
--- a/src/policy/fair_scheduler.cpp
+++ b/src/policy/fair_scheduler.cpp
@@ -20,7 +20,7 @@
     : state_(settings),
       reservations_(state_),
       preemptor_(state_, reservations_),
-      placer_(state_, reservations_, preemptor_)
+      placer_(state_, reservations_)
 {
 }
 
@@ -52,6 +52,10 @@
 
 void fair_scheduler::enqueue(const job_request& request)
 {
+    if (state_.withdrawn.contains(request.job))
+    {
+        state_.withdraw_now(request.job);
+    }
     if (!request.waiting.empty())
     {
         state_.add_waiting(state_.open_job(request), request.waiting);
@@ -60,11 +64,7 @@
 
 void fair_scheduler::withdraw(const job_id& job)
 {
-    job_slot slot = state_.jobs.find(job);
-    if (slot != no_slot)
-    {
-        state_.withdraw(slot);
-    }
+    state_.withdraw_later(job);
 }
 
 void fair_scheduler::occupy(
@@ -75,6 +75,10 @@
     {
         return;
     }
+    if (state_.withdrawn.contains(job.job))
+    {
+        state_.withdraw_now(job.job);
+    }
     job_slot slot = state_.open_job(job);
     state_.start(slot, index, where, job.each);
 }
@@ -102,6 +106,7 @@
 {
     state_.now = now;
     decisions made;
+    state_.work_off_withdrawn();
     reservations_.refresh();
     preemptor_.refresh();
     placer_.begin();
@@ -123,12 +128,12 @@
 
 result<void> fair_scheduler::judge(const job_request& request) const
 {
-    return impl::explainer(state_).judge(request);
+    return impl::explainer(state_, reservations_).judge(request);
 }
 
 result<explanation> fair_scheduler::explain(const job_id& job) const
 {
-    return impl::explainer(state_).explain(job);
+    return impl::explainer(state_, reservations_).explain(job);
 }
 
 resources fair_scheduler::usage_of(const team_name& team) const
--- a/src/policy/placer.cpp
+++ b/src/policy/placer.cpp
@@ -1,5 +1,7 @@
 #include "policy/placer.hpp"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <algorithm>
 
 namespace acaciastile::impl
@@ -12,6 +14,11 @@
 constexpr std::size_t tries_of_class = 4;
 /// Workers with room that are compared for one task.
 constexpr std::size_t workers_compared = 8;
+constexpr std::size_t workers_compared_to_spread = 256;
+/// What a task of the same service costs in the same rack or data centre, in
+/// average workers left over.
+constexpr double same_rack_penalty = 4.0;
+constexpr double same_data_centre_penalty = 2.0;
 /// A task may use kept room when this many times its longest remembered run
 /// ends before the room is needed.
 constexpr int backfill_factor = 2;
@@ -22,6 +29,11 @@
 
 void placer::begin()
 {
+    for (job_slot slot : moved_)
+    {
+        state_.file(slot);
+    }
+    moved_.clear();
     look_at_kept();
     probes_due_ = state_.health.due(state_.now);
     probe_classes_ = class_set{};
@@ -50,14 +62,6 @@
             }
         }
     }
-    for (const urgent_claim& one : preempting_.claims())
-    {
-        resources free = state_.workers.at(one.worker).free();
-        if (!free.has_negative())
-        {
-            kept_classes_.insert(class_of(free).index());
-        }
-    }
     kept_classes_ = kept_classes_.covered();
 }
 
@@ -108,6 +112,7 @@
 void placer::place_tier(queue_tier tier, std::size_t limit, decisions& made)
 {
     const auto& order = state_.orders[static_cast<std::size_t>(tier)].order();
+    open_stale_ = true;
     auto at = order.begin();
     while (at != order.end() && made.placements.size() < limit)
     {
@@ -119,18 +124,28 @@
     }
 }
 
-void placer::collect_heads(const waiting_jobs& queue)
+void placer::look_at_open(queue_tier tier)
 {
-    heads_.clear();
-    class_set open = state_.workers.reachable();
-    open -= state_.without_room.full();
+    open_ = state_.workers.reachable();
+    open_ -= state_.without_room.full();
     if (!probes_due_.empty())
     {
-        open |= probe_classes_;
+        open_ |= probe_classes_;
+    }
+    open_ |= tier == queue_tier::shared ? kept_classes_
+                                        : state_.workers.kept_reachable();
+    open_stale_ = false;
+}
+
+void placer::collect_heads(queue_tier tier, const waiting_jobs& queue)
+{
+    heads_.clear();
+    if (open_stale_)
+    {
+        look_at_open(tier);
     }
-    open |= kept_classes_;
     queue.classes().for_each_common(
-        open,
+        open_,
         [this, &queue](std::uint16_t index)
         {
             const job_queue& jobs = queue.of_class(index);
@@ -146,12 +161,7 @@
 bool placer::place_next(
     queue_tier tier, team_slot team, std::size_t limit, decisions& made)
 {
-    for (job_slot slot : moved_)
-    {
-        state_.file(slot);
-    }
-    moved_.clear();
-    collect_heads(*state_.waiting_of(tier, team));
+    collect_heads(tier, *state_.waiting_of(tier, team));
     auto older = [](const head& left, const head& right)
     { return left.key < right.key; };
     while (!heads_.empty())
@@ -179,6 +189,10 @@
 bool placer::try_job(job_slot slot, std::size_t limit, decisions& made)
 {
     const job_entry& job = state_.jobs.at(slot);
+    if (state_.withdrawn.may_contain(job.request.job))
+    {
+        return false;
+    }
     if (!state_.need_of(job).fits_in(state_.teams.left(job.team)))
     {
         return false;
@@ -187,12 +201,37 @@
                          : place_one(slot, made);
 }
 
-worker_slot placer::pick(const job_entry&, const resources& size) const
+worker_slot placer::pick(const job_entry& job, const resources& size) const
 {
+    if (job.queue.policy == work_class::service)
+    {
+        return pick_spread(job, size);
+    }
     auto no_penalty = [](worker_slot) { return 0.0; };
     return state_.workers.best_fit(size, workers_compared, no_penalty);
 }
 
+worker_slot
+placer::pick_spread(const job_entry& job, const resources& size) const
+{
+    absl::flat_hash_map<std::uint32_t, double> in_place;
+    for (const auto& [index, task] : job.running)
+    {
+        const pool_worker& worker = state_.workers.at(task.worker);
+        in_place[worker.rack] += same_rack_penalty;
+        in_place[worker.data_centre] += same_data_centre_penalty;
+    }
+    auto crowding = [this, &in_place](worker_slot slot)
+    {
+        const pool_worker& worker = state_.workers.at(slot);
+        auto rack = in_place.find(worker.rack);
+        auto data_centre = in_place.find(worker.data_centre);
+        return (rack == in_place.end() ? 0.0 : rack->second) +
+               (data_centre == in_place.end() ? 0.0 : data_centre->second);
+    };
+    return state_.workers.best_fit(size, workers_compared_to_spread, crowding);
+}
+
 bool placer::place_one(job_slot slot, decisions& made)
 {
     const job_entry& job = state_.jobs.at(slot);
@@ -214,6 +253,7 @@
         if (worker == no_slot)
         {
             state_.without_room.failed(size);
+            open_stale_ = true;
         }
     }
     if (worker == no_slot)
@@ -267,31 +307,21 @@
 
 worker_slot placer::pick_kept(const job_entry& job, const resources& size) const
 {
-    if (!kept_classes_.contains(class_of(size).index()))
-    {
-        return no_slot;
-    }
-    bool first = job.tier() != queue_tier::shared;
-    if (first)
+    if (job.tier() != queue_tier::shared)
     {
-        for (const urgent_claim& one : preempting_.claims())
-        {
-            if (size.fits_in(state_.workers.at(one.worker).free()))
-            {
-                return one.worker;
-            }
-        }
+        auto allowed = [this](worker_slot worker)
+        { return !reserved_.is_starving(worker); };
+        return state_.workers.kept_fit(size, allowed);
     }
     run_estimates::run_estimate run = state_.estimates.run_of(job.group);
-    if (!first && !run.known)
+    if (!run.known || !kept_classes_.contains(class_of(size).index()))
     {
         return no_slot;
     }
     instant end = state_.now + run.longest * backfill_factor;
     for (const reservation& one : reserved_.all())
     {
-        bool may_use = first ? !one.starving : end <= one.ready_at;
-        if (!may_use)
+        if (end > one.ready_at)
         {
             continue;
         }
@@ -361,6 +391,7 @@
          state_.workers.at(worker).entry.id,
          min(charged, job.request.each)});
     state_.start(slot, index, worker, charged);
+    open_stale_ = true;
 }
 
 } // namespace acaciastile::impl
--- a/src/policy/placer.hpp
+++ b/src/policy/placer.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "policy/decision_state.hpp"
-#include "policy/preemptor.hpp"
 #include "policy/reservations.hpp"
 
 #include <cstddef>
@@ -15,11 +14,8 @@
 class placer
 {
 public:
-    placer(
-        decision_state& state,
-        reservations& reserved,
-        const preemptor& preempting)
-        : state_(state), reserved_(reserved), preempting_(preempting)
+    placer(decision_state& state, reservations& reserved)
+        : state_(state), reserved_(reserved)
     {
     }
 
@@ -44,7 +40,7 @@
 
     [[nodiscard]] bool place_next(
         queue_tier tier, team_slot team, std::size_t limit, decisions& made);
-    void collect_heads(const waiting_jobs& queue);
+    void collect_heads(queue_tier tier, const waiting_jobs& queue);
     [[nodiscard]] bool
     try_job(job_slot slot, std::size_t limit, decisions& made);
     [[nodiscard]] bool place_one(job_slot slot, decisions& made);
@@ -61,9 +57,13 @@
     [[nodiscard]] worker_slot
     pick_kept(const job_entry& job, const resources& size) const;
     void look_at_kept();
+    void look_at_open(queue_tier tier);
     [[nodiscard]] bool worth_trying(reservation& one) const;
     [[nodiscard]] worker_slot
     pick(const job_entry& job, const resources& size) const;
+    /// Keeps the tasks of a service apart by data centre and rack.
+    [[nodiscard]] worker_slot
+    pick_spread(const job_entry& job, const resources& size) const;
     void place(
         job_slot slot,
         std::uint32_t index,
@@ -73,9 +73,11 @@
 
     decision_state& state_;
     reservations& reserved_;
-    const preemptor& preempting_;
+
     std::vector<head> heads_;
     std::vector<worker_slot> probes_due_;
+    class_set open_; ///< Classes worth trying in this tier.
+    bool open_stale_ = true;
     class_set probe_classes_;
     class_set kept_classes_;      ///< Of the free amounts under reservations.
     std::vector<job_slot> moved_; ///< To be filed anew.
--- a/src/policy/preemptor.cpp
+++ b/src/policy/preemptor.cpp
@@ -30,7 +30,7 @@
 bool preemptor::is_claimed_worker(worker_slot worker) const
 {
     auto on = [worker](const urgent_claim& one)
-    { return one.worker == worker && one.job != no_slot; };
+    { return one.worker == worker; };
     return std::any_of(claims_.begin(), claims_.end(), on);
 }
 
@@ -49,13 +49,9 @@
         const urgent_claim& one = claims_[at];
         const pool_worker& worker = state_.workers.at(one.worker);
         bool usable = worker.is_open() && worker.use == worker_use::common;
-        bool wanted = one.job == no_slot;
-        if (!wanted)
-        {
-            const job_entry& job = state_.jobs.at(one.job);
-            wanted = job.order == one.order && !job.waiting.empty() &&
-                     state_.now <= one.until;
-        }
+        const job_entry& job = state_.jobs.at(one.job);
+        bool wanted = job.order == one.order && !job.waiting.empty() &&
+                      state_.now <= one.until;
         if (!usable || !wanted)
         {
             drop(at);
@@ -75,13 +71,12 @@
     }
     headroom_ = state_.largest_urgent;
     headroom_workers_ = count;
-    for (std::size_t at = claims_.size(); at-- > 0;)
+    for (const auto& [worker, size] : standing_)
     {
-        if (claims_[at].job == no_slot)
-        {
-            drop(at);
-        }
+        state_.workers.keep(worker, size * -1);
+        state_.gained_room(worker);
     }
+    standing_.clear();
     for (std::size_t at = every - 1; at < count; at += every)
     {
         auto slot = static_cast<worker_slot>(at);
@@ -96,7 +91,7 @@
             held.memory_mib / headroom_divisor,
             0};
         resources size = min(headroom_, most);
-        claims_.push_back({slot, size, no_slot, 0, {}});
+        standing_.emplace_back(slot, size);
         state_.workers.keep(slot, size);
     }
 }
@@ -218,7 +213,7 @@
         const waiting_jobs& queue = state_.waiting[tier][team];
         for (const auto& [index, jobs] : queue.all_classes())
         {
-            if (claims_.size() >= claims_at_once + headroom_workers_)
+            if (claims_.size() >= claims_at_once)
             {
                 return;
             }
--- a/src/policy/preemptor.hpp
+++ b/src/policy/preemptor.hpp
@@ -4,17 +4,18 @@
 #include "policy/reservations.hpp"
 
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace acaciastile::impl
 {
 
-/// Room kept for urgent work: while a checkpoint makes it, or at all times.
+/// Room kept for urgent work while a checkpoint makes it.
 struct urgent_claim
 {
     worker_slot worker = no_slot;
     resources size;
-    job_slot job = no_slot;  ///< None for standing headroom.
+    job_slot job = no_slot;
     std::uint64_t order = 0; ///< Of that job.
     instant until{};
 };
@@ -38,11 +39,6 @@
     /// For reservations beyond their bound.
     void make_room_for_reserved(decisions& made);
 
-    [[nodiscard]] const std::vector<urgent_claim>& claims() const noexcept
-    {
-        return claims_;
-    }
-
 private:
     struct victims
     {
@@ -64,6 +60,7 @@
     decision_state& state_;
     reservations& reserved_;
     std::vector<urgent_claim> claims_;
+    std::vector<std::pair<worker_slot, resources>> standing_;
     resources headroom_;
     std::size_t headroom_workers_ = 0;
     worker_slot next_worker_ = 0;
--- a/src/policy/reservations.cpp
+++ b/src/policy/reservations.cpp
@@ -41,6 +41,16 @@
     return std::any_of(made_.begin(), made_.end(), of_job);
 }
 
+bool reservations::is_starving(worker_slot worker) const
+{
+    auto on = [worker](const kept_room& room) { return room.worker == worker; };
+    auto starving_on = [&on](const reservation& one) {
+        return one.starving &&
+               std::any_of(one.rooms.begin(), one.rooms.end(), on);
+    };
+    return std::any_of(made_.begin(), made_.end(), starving_on);
+}
+
 void reservations::keep(const reservation& one)
 {
     for (const kept_room& room : one.rooms)
--- a/src/policy/reservations.hpp
+++ b/src/policy/reservations.hpp
@@ -56,6 +56,8 @@
     void drop(std::size_t at);
 
     [[nodiscard]] bool has(job_slot job) const;
+    /// True where a worker keeps room for a job that yields to nothing.
+    [[nodiscard]] bool is_starving(worker_slot worker) const;
 
 private:
     struct candidate
--- a/src/policy/worker_pool.cpp
+++ b/src/policy/worker_pool.cpp
@@ -54,6 +54,8 @@
         known.state = worker_state::closed;
     }
     known.entry = entry;
+    known.rack = number_of("r/" + entry.rack.str());
+    known.data_centre = number_of("d/" + entry.data_centre.str());
     known.listed = true;
     count_capacity(entry.capacity, 1);
     index(at->second);
@@ -95,6 +97,12 @@
     return at == by_id_.end() ? no_slot : at->second;
 }
 
+std::uint32_t worker_pool::number_of(const std::string& place)
+{
+    auto fresh = static_cast<std::uint32_t>(places_.size());
+    return places_.try_emplace(place, fresh).first->second;
+}
+
 void worker_pool::hold(worker_slot slot, const resources& size)
 {
     workers_[slot].held += size;
@@ -136,7 +144,16 @@
     fit_index& own = accelerated ? accelerated_ : plain_;
     fit_index& other = accelerated ? plain_ : accelerated_;
     other.erase(slot);
-    if (worker.is_open() && worker.use == worker_use::common)
+    bool usable = worker.is_open() && worker.use == worker_use::common;
+    if (usable && !worker.kept.is_zero())
+    {
+        kept_.set(slot, worker.free());
+    }
+    else
+    {
+        kept_.erase(slot);
+    }
+    if (usable)
     {
         own.set(slot, worker.room());
     }
@@ -209,6 +226,17 @@
     return static_cast<std::size_t>(count);
 }
 
+std::size_t worker_pool::count_open_that_could(const resources& size) const
+{
+    auto could = [&size](const pool_worker& worker)
+    {
+        return worker.is_open() && worker.use == worker_use::common &&
+               size.fits_in(worker.entry.capacity);
+    };
+    auto count = std::count_if(workers_.begin(), workers_.end(), could);
+    return static_cast<std::size_t>(count);
+}
+
 std::size_t worker_pool::count_that_could(const resources& size) const
 {
     std::size_t count = 0;
@@ -270,4 +298,26 @@
     return at == by_capacity_.end() ? 0 : at->second;
 }
 
+const class_set& worker_pool::kept_reachable() const
+{
+    return kept_.reachable();
+}
+
+worker_slot worker_pool::kept_fit(
+    const resources& size, absl::FunctionRef<bool(worker_slot)> allowed) const
+{
+    worker_slot found = no_slot;
+    auto take = [&](const fit_index::room& room)
+    {
+        if (!allowed(room.worker))
+        {
+            return true;
+        }
+        found = room.worker;
+        return false;
+    };
+    kept_.visit(size, take);
+    return found;
+}
+
 } // namespace acaciastile::impl
--- a/src/policy/worker_pool.hpp
+++ b/src/policy/worker_pool.hpp
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <tuple>
 #include <vector>
 
@@ -39,6 +40,8 @@
     worker_entry entry;
     worker_state state = worker_state::closed;
     worker_use use = worker_use::common;
+    std::uint32_t rack = 0;        ///< Number of its rack's name.
+    std::uint32_t data_centre = 0; ///< Likewise; of the same series.
     bool listed = true; ///< False once removed; it may still hold tasks.
     resources held;
     resources kept; ///< For reservations; more may be kept than is free.
@@ -95,8 +98,18 @@
         std::size_t candidates,
         absl::FunctionRef<double(worker_slot)> penalty) const;
 
+    /// The same for kept room, by what is free.
+    [[nodiscard]] const class_set& kept_reachable() const;
+    /// An allowed worker on which kept room holds one task.
+    [[nodiscard]] worker_slot kept_fit(
+        const resources& size,
+        absl::FunctionRef<bool(worker_slot)> allowed) const;
+
     /// How many open workers have room for one task now.
     [[nodiscard]] std::size_t count_with_room(const resources& size) const;
+    /// How many open workers out of quarantine could hold one when empty.
+    [[nodiscard]] std::size_t
+    count_open_that_could(const resources& size) const;
     /// How many listed workers could hold one task when empty.
     [[nodiscard]] std::size_t count_that_could(const resources& size) const;
     /// How many listed workers are exactly of that size.
@@ -109,6 +122,7 @@
 private:
     using capacity_key = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 
+    [[nodiscard]] std::uint32_t number_of(const std::string& place);
     void count_capacity(const resources& capacity, int by);
     void index(worker_slot slot);
     [[nodiscard]] double
@@ -117,10 +131,12 @@
     std::vector<pool_worker> workers_;
     absl::flat_hash_map<worker_id, worker_slot> by_id_;
     absl::btree_map<capacity_key, std::size_t> by_capacity_;
+    absl::flat_hash_map<std::string, std::uint32_t> places_;
     resources total_;
     std::size_t listed_ = 0;
     fit_index plain_;
     fit_index accelerated_;
+    fit_index kept_; ///< What is free on workers with kept room.
 };
 
 /// How many tasks of that size fit into the room; at most `enough`.
