Idle accelerators keep half the processors that come with them

Cause: plain tasks filled the accelerated workers' processors, and gangs that need accelerators waited for them beside idle devices. Change: a task without accelerators leaves free, for each idle accelerator of a worker, half of that accelerator's part of the processors and memory. Conclusion: kept with half; it costs packing where accelerators stand idle.

--- a/src/policy/worker_pool.cpp
+++ b/src/policy/worker_pool.cpp
@@ -19,6 +19,10 @@
     return std::clamp<std::int64_t>(room / size, 0, enough);
 }
 
+/// Idle accelerators keep one part in so many of the processors and memory
+/// that come with them on their worker.
+constexpr std::int64_t accelerator_keep_divisor = 2;
+
 } // namespace
 
 std::int64_t tasks_that_fit(
@@ -137,6 +141,15 @@
     }
 }
 
+resources worker_pool::kept_for_accelerators(const pool_worker& worker)
+{
+    const resources& held = worker.entry.capacity;
+    std::int64_t idle = std::max<std::int64_t>(worker.free().accelerators, 0);
+    std::int64_t all = held.accelerators * accelerator_keep_divisor;
+    return {
+        held.milli_processors * idle / all, held.memory_mib * idle / all, 0};
+}
+
 void worker_pool::index(worker_slot slot)
 {
     const pool_worker& worker = workers_[slot];
@@ -153,6 +166,14 @@
     {
         kept_.erase(slot);
     }
+    if (usable && accelerated)
+    {
+        spare_.set(slot, worker.room() - kept_for_accelerators(worker));
+    }
+    else
+    {
+        spare_.erase(slot);
+    }
     if (usable)
     {
         own.set(slot, worker.room());
@@ -166,6 +187,7 @@
 class_set worker_pool::reachable() const
 {
     class_set both = plain_.reachable();
+    both |= spare_.reachable();
     both |= accelerated_.reachable();
     return both;
 }
@@ -210,7 +232,7 @@
     if (best == no_slot)
     {
         seen = 0;
-        accelerated_.visit(size, weigh);
+        (size.accelerators == 0 ? spare_ : accelerated_).visit(size, weigh);
     }
     return best;
 }
--- a/src/policy/worker_pool.hpp
+++ b/src/policy/worker_pool.hpp
@@ -125,6 +125,9 @@
     [[nodiscard]] std::uint32_t number_of(const std::string& place);
     void count_capacity(const resources& capacity, int by);
     void index(worker_slot slot);
+    /// What tasks without accelerators leave free for the idle ones.
+    [[nodiscard]] static resources
+    kept_for_accelerators(const pool_worker& worker);
     [[nodiscard]] double
     left_over(const resources& size, const resources& free) const;
 
@@ -136,7 +139,8 @@
     std::size_t listed_ = 0;
     fit_index plain_;
     fit_index accelerated_;
-    fit_index kept_; ///< What is free on workers with kept room.
+    fit_index spare_; ///< Accelerated workers, less what they keep.
+    fit_index kept_;  ///< What is free on workers with kept room.
 };
 
 /// How many tasks of that size fit into the room; at most `enough`.
