--- a/bench/policy_outcomes.cpp
+++ b/bench/policy_outcomes.cpp
@@ -41,6 +41,30 @@
     return settings;
 }
 
+/// As the first version decided: shares and classes alone.
+fair_scheduler_settings first_settings()
+{
+    fair_scheduler_settings settings;
+    settings.quarantine = false;
+    settings.learn_sizes = false;
+    settings.reserve = false;
+    settings.preempt = false;
+    settings.headroom_every = 0;
+    settings.head_start_factor = 0;
+    return settings;
+}
+
+/// As before headroom, preemption and the head start of short jobs.
+fair_scheduler_settings previous_settings()
+{
+    fair_scheduler_settings settings = product_settings();
+    settings.preempt = false;
+    settings.headroom_every = 0;
+    settings.head_start_factor = 0;
+    settings.reservations = 4;
+    return settings;
+}
+
 std::vector<contender> contenders()
 {
     return {
@@ -49,6 +73,10 @@
         {"least loaded",
          []
          { return baseline_scheduler::create(baseline_choice::least_loaded); }},
+        {"first version",
+         [] { return fair_scheduler::create(first_settings()); }},
+        {"previous version",
+         [] { return fair_scheduler::create(previous_settings()); }},
         {"current", [] { return fair_scheduler::create(product_settings()); }}};
 }
 
