--- a/src/policy/worker_pool.cpp
+++ b/src/policy/worker_pool.cpp
@@ -19,6 +19,10 @@
     return std::clamp<std::int64_t>(room / size, 0, enough);
 }
 
+/// Idle accelerators keep one part in so many of the processors and memory
+/// that come with them on their worker.
+constexpr std::int64_t accelerator_keep_divisor = 2;
+
 } // namespace
 
 std::int64_t tasks_that_fit(
@@ -54,6 +58,8 @@
         known.state = worker_state::closed;
     }
     known.entry = entry;
+    known.rack = number_of("r/" + entry.rack.str());
+    known.data_centre = number_of("d/" + entry.data_centre.str());
     known.listed = true;
     count_capacity(entry.capacity, 1);
     index(at->second);
@@ -95,6 +101,12 @@
     return at == by_id_.end() ? no_slot : at->second;
 }
 
+std::uint32_t worker_pool::number_of(const std::string& place)
+{
+    auto fresh = static_cast<std::uint32_t>(places_.size());
+    return places_.try_emplace(place, fresh).first->second;
+}
+
 void worker_pool::hold(worker_slot slot, const resources& size)
 {
     workers_[slot].held += size;
@@ -129,6 +141,15 @@
     }
 }
 
+resources worker_pool::kept_for_accelerators(const pool_worker& worker)
+{
+    const resources& held = worker.entry.capacity;
+    std::int64_t idle = std::max<std::int64_t>(worker.free().accelerators, 0);
+    std::int64_t all = held.accelerators * accelerator_keep_divisor;
+    return {
+        held.milli_processors * idle / all, held.memory_mib * idle / all, 0};
+}
+
 void worker_pool::index(worker_slot slot)
 {
     const pool_worker& worker = workers_[slot];
@@ -136,7 +157,24 @@
     fit_index& own = accelerated ? accelerated_ : plain_;
     fit_index& other = accelerated ? plain_ : accelerated_;
     other.erase(slot);
-    if (worker.is_open() && worker.use == worker_use::common)
+    bool usable = worker.is_open() && worker.use == worker_use::common;
+    if (usable && !worker.kept.is_zero())
+    {
+        kept_.set(slot, worker.free());
+    }
+    else
+    {
+        kept_.erase(slot);
+    }
+    if (usable && accelerated)
+    {
+        spare_.set(slot, worker.room() - kept_for_accelerators(worker));
+    }
+    else
+    {
+        spare_.erase(slot);
+    }
+    if (usable)
     {
         own.set(slot, worker.room());
     }
@@ -149,6 +187,7 @@
 class_set worker_pool::reachable() const
 {
     class_set both = plain_.reachable();
+    both |= spare_.reachable();
     both |= accelerated_.reachable();
     return both;
 }
@@ -193,7 +232,7 @@
     if (best == no_slot)
     {
         seen = 0;
-        accelerated_.visit(size, weigh);
+        (size.accelerators == 0 ? spare_ : accelerated_).visit(size, weigh);
     }
     return best;
 }
@@ -209,6 +248,17 @@
     return static_cast<std::size_t>(count);
 }
 
+std::size_t worker_pool::count_open_that_could(const resources& size) const
+{
+    auto could = [&size](const pool_worker& worker)
+    {
+        return worker.is_open() && worker.use == worker_use::common &&
+               size.fits_in(worker.entry.capacity);
+    };
+    auto count = std::count_if(workers_.begin(), workers_.end(), could);
+    return static_cast<std::size_t>(count);
+}
+
 std::size_t worker_pool::count_that_could(const resources& size) const
 {
     std::size_t count = 0;
@@ -270,4 +320,26 @@
     return at == by_capacity_.end() ? 0 : at->second;
 }
 
+const class_set& worker_pool::kept_reachable() const
+{
+    return kept_.reachable();
+}
+
+worker_slot worker_pool::kept_fit(
+    const resources& size, absl::FunctionRef<bool(worker_slot)> allowed) const
+{
+    worker_slot found = no_slot;
+    auto take = [&](const fit_index::room& room)
+    {
+        if (!allowed(room.worker))
+        {
+            return true;
+        }
+        found = room.worker;
+        return false;
+    };
+    kept_.visit(size, take);
+    return found;
+}
+
 } // namespace acaciastile::impl
