--- a/src/cell/instance_keys.cpp
+++ b/src/cell/instance_keys.cpp
@@ -15,7 +15,7 @@
     {
         return refuse(refusal_code::unauthenticated, "a key is needed");
     }
-    if (now() - last_log_contact() > settings_.key_staleness)
+    if (age_of(last_log_contact(), now()) > settings_.key_staleness)
     {
         return refuse(
             refusal_code::stale_configuration,
--- a/src/cell/instance_peers.cpp
+++ b/src/cell/instance_peers.cpp
@@ -183,7 +183,7 @@
     told.folded = cell().applied_through();
     told.inventory_revision = cell().inventory_revision();
     told.rules_revision = cell().rules_revision();
-    told.log_age = now() - follower_->last_contact();
+    told.log_age = age_of(follower_->last_contact(), now());
     return to_json(told);
 }
 
--- a/src/cell/instance_shards.cpp
+++ b/src/cell/instance_shards.cpp
@@ -248,7 +248,7 @@
 
 void instance::report_metrics()
 {
-    const auto age = now() - follower_->last_contact();
+    const auto age = age_of(follower_->last_contact(), now());
     ports_.metrics->gauge("log_age_ms", "", static_cast<double>(age.count()));
     ports_.metrics->gauge(
         "owned_shards", "", static_cast<double>(owners_.size()));
--- a/src/cell/shard_owner.cpp
+++ b/src/cell/shard_owner.cpp
@@ -114,7 +114,8 @@
 bool shard_owner::may_act() const
 {
     return open_ && !lost_ &&
-           now() - host_.last_log_contact() < settings_.log_silence_limit;
+           age_of(host_.last_log_contact(), now()) <
+               settings_.log_silence_limit;
 }
 
 void shard_owner::write(
--- a/src/domain/instant.hpp
+++ b/src/domain/instant.hpp
@@ -31,6 +31,16 @@
 using instant = process_clock::time_point;
 using worker_instant = worker_clock::time_point;
 
+/// Age of what never was; a duration that documents can hold.
+inline constexpr milliseconds never_age{std::chrono::years{10}};
+
+/// How long ago `since` was; `never_age` where it is `instant::min()`, which
+/// stands for never. A plain difference would overflow there.
+[[nodiscard]] constexpr milliseconds age_of(instant since, instant now) noexcept
+{
+    return since == instant::min() ? never_age : now - since;
+}
+
 /// Source of the present instant; the control code takes it as an argument
 /// and only the outermost loop reads it.
 class clock_source
