--- a/src/cell/resource_split.hpp
+++ b/src/cell/resource_split.hpp
@@ -2,6 +2,8 @@
 
 #include "domain/resources.hpp"
 
+#include <cstdint>
+
 namespace acaciastile::impl
 {
 
@@ -31,6 +33,19 @@
 [[nodiscard]] double
 fitting_factor(const resources& amount, const resources& room) noexcept;
 
+/// How many whole times the task fits in the room; kinds that are zero in it
+/// do not count. Zero for a task of nothing.
+[[nodiscard]] std::int64_t
+times_within(const resources& task, const resources& room) noexcept;
+
+/// The number of tasks whose sum is nearest to the amount.
+[[nodiscard]] std::int64_t
+nearest_tasks(const resources& task, const resources& amount) noexcept;
+
+/// Each kind divided, rounded down.
+[[nodiscard]] resources
+divided(const resources& amount, std::int64_t divisor) noexcept;
+
 /// Kinds of `amount` where `mask` is above zero, the others zero.
 [[nodiscard]] resources
 masked(const resources& amount, const resources& mask) noexcept;
--- a/src/entry/handle_request.cpp
+++ b/src/entry/handle_request.cpp
@@ -14,7 +14,6 @@
 {
 
 constexpr std::string_view bearer = "Bearer ";
-constexpr int first_error_status = 400;
 
 result<presented_key> read_key(const std::string& header)
 {
@@ -87,6 +86,14 @@
              "too many requests are in hand",
              {}});
     }
+    if (!read.trusted)
+    {
+        return make_error_reply(
+            {refusal_code::unauthenticated,
+             verdict::not_run,
+             "a certificate of the callers' CA is needed",
+             {}});
+    }
     auto key = read_key(read.authorization);
     if (!key)
     {
@@ -114,9 +121,9 @@
     metric_sink& measured = *shared.measurements;
     measured.count("http_requests", name, 1);
     measured.sample("http_seconds", name, took.count());
-    if (reply.status >= first_error_status)
+    if (!reply.refusal.empty())
     {
-        measured.count("http_errors", std::to_string(reply.status), 1);
+        measured.count("http_refusals", reply.refusal, 1);
     }
     return reply;
 }
--- a/src/policy/fair_scheduler.cpp
+++ b/src/policy/fair_scheduler.cpp
@@ -17,7 +17,10 @@
 }
 
 fair_scheduler::fair_scheduler(fair_scheduler_settings settings)
-    : state_(settings), placer_(state_)
+    : state_(settings),
+      reservations_(state_),
+      preemptor_(state_, reservations_),
+      placer_(state_, reservations_)
 {
 }
 
@@ -49,6 +52,10 @@
 
 void fair_scheduler::enqueue(const job_request& request)
 {
+    if (state_.withdrawn.contains(request.job))
+    {
+        state_.withdraw_now(request.job);
+    }
     if (!request.waiting.empty())
     {
         state_.add_waiting(state_.open_job(request), request.waiting);
@@ -57,11 +64,7 @@
 
 void fair_scheduler::withdraw(const job_id& job)
 {
-    job_slot slot = state_.jobs.find(job);
-    if (slot != no_slot)
-    {
-        state_.withdraw(slot);
-    }
+    state_.withdraw_later(job);
 }
 
 void fair_scheduler::occupy(
@@ -72,6 +75,10 @@
     {
         return;
     }
+    if (state_.withdrawn.contains(job.job))
+    {
+        state_.withdraw_now(job.job);
+    }
     job_slot slot = state_.open_job(job);
     state_.start(slot, index, where, job.each);
 }
@@ -81,32 +88,52 @@
     job_slot slot = state_.jobs.find(task.job);
     if (slot != no_slot && state_.jobs.at(slot).running.contains(task.index))
     {
-        state_.judge_worker(slot, task.index, how);
+        state_.learn(slot, task.index, how);
         state_.finish(slot, task.index);
     }
 }
 
-void fair_scheduler::set_usage(const task_id&, const resources&) {}
+void fair_scheduler::set_usage(const task_id& task, const resources& usage)
+{
+    job_slot slot = state_.jobs.find(task.job);
+    if (slot != no_slot && state_.jobs.at(slot).running.contains(task.index))
+    {
+        state_.set_usage(slot, task.index, usage);
+    }
+}
 
 decisions fair_scheduler::decide(instant now, std::size_t limit)
 {
     state_.now = now;
     decisions made;
+    state_.work_off_withdrawn();
+    reservations_.refresh();
+    preemptor_.refresh();
     placer_.begin();
     placer_.place_tier(impl::queue_tier::urgent, limit, made);
+    if (made.placements.size() < limit)
+    {
+        preemptor_.make_room_for_urgent(made);
+    }
     placer_.place_tier(impl::queue_tier::status, limit, made);
+    placer_.place_reserved(limit, made);
     placer_.place_tier(impl::queue_tier::shared, limit, made);
+    if (made.placements.size() < limit)
+    {
+        reservations_.plan();
+        preemptor_.make_room_for_reserved(made);
+    }
     return made;
 }
 
 result<void> fair_scheduler::judge(const job_request& request) const
 {
-    return impl::explainer(state_).judge(request);
+    return impl::explainer(state_, reservations_).judge(request);
 }
 
 result<explanation> fair_scheduler::explain(const job_id& job) const
 {
-    return impl::explainer(state_).explain(job);
+    return impl::explainer(state_, reservations_).explain(job);
 }
 
 resources fair_scheduler::usage_of(const team_name& team) const
--- a/src/policy/worker_pool.hpp
+++ b/src/policy/worker_pool.hpp
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <tuple>
 #include <vector>
 
@@ -26,13 +27,11 @@
     [[nodiscard]] bool operator==(const task_ref&) const = default;
 };
 
-/// For whom a worker's room is kept.
+/// What a worker may be given.
 enum class worker_use
 {
-    common,   ///< Takes any work.
-    reserved, ///< Kept for one job that could not be placed otherwise.
-    claimed,  ///< Kept for urgent work that waits for a checkpoint there.
-    barred    ///< Quarantined: takes single probes alone.
+    common, ///< Takes any work.
+    barred  ///< Quarantined: takes single probes alone.
 };
 
 /// One worker and what is placed on it.
@@ -41,14 +40,19 @@
     worker_entry entry;
     worker_state state = worker_state::closed;
     worker_use use = worker_use::common;
+    std::uint32_t rack = 0;        ///< Number of its rack's name.
+    std::uint32_t data_centre = 0; ///< Likewise; of the same series.
     bool listed = true; ///< False once removed; it may still hold tasks.
     resources held;
+    resources kept; ///< For reservations; more may be kept than is free.
     std::vector<task_ref> tasks;
 
     [[nodiscard]] resources free() const noexcept
     {
         return entry.capacity - held;
     }
+    /// What is free for work without a reservation; may be negative.
+    [[nodiscard]] resources room() const noexcept { return free() - kept; }
     [[nodiscard]] bool is_open() const noexcept
     {
         return state == worker_state::open;
@@ -74,6 +78,8 @@
 
     void hold(worker_slot slot, const resources& size);
     void release(worker_slot slot, const resources& size);
+    /// Keeps that much more for reservations, or less where negative.
+    void keep(worker_slot slot, const resources& more);
     void add_task(worker_slot slot, const task_ref& task);
     void remove_task(worker_slot slot, const task_ref& task);
 
@@ -92,10 +98,23 @@
         std::size_t candidates,
         absl::FunctionRef<double(worker_slot)> penalty) const;
 
+    /// The same for kept room, by what is free.
+    [[nodiscard]] const class_set& kept_reachable() const;
+    /// An allowed worker on which kept room holds one task.
+    [[nodiscard]] worker_slot kept_fit(
+        const resources& size,
+        absl::FunctionRef<bool(worker_slot)> allowed) const;
+
     /// How many open workers have room for one task now.
     [[nodiscard]] std::size_t count_with_room(const resources& size) const;
+    /// How many open workers out of quarantine could hold one when empty.
+    [[nodiscard]] std::size_t
+    count_open_that_could(const resources& size) const;
     /// How many listed workers could hold one task when empty.
     [[nodiscard]] std::size_t count_that_could(const resources& size) const;
+    /// How many listed workers are exactly of that size.
+    [[nodiscard]] std::size_t
+    count_of_capacity(const resources& capacity) const;
     /// How many tasks all listed workers could hold when empty.
     [[nodiscard]] std::int64_t
     tasks_when_empty(const resources& size, std::int64_t enough) const;
@@ -103,18 +122,25 @@
 private:
     using capacity_key = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 
+    [[nodiscard]] std::uint32_t number_of(const std::string& place);
     void count_capacity(const resources& capacity, int by);
     void index(worker_slot slot);
+    /// What tasks without accelerators leave free for the idle ones.
+    [[nodiscard]] static resources
+    kept_for_accelerators(const pool_worker& worker);
     [[nodiscard]] double
     left_over(const resources& size, const resources& free) const;
 
     std::vector<pool_worker> workers_;
     absl::flat_hash_map<worker_id, worker_slot> by_id_;
     absl::btree_map<capacity_key, std::size_t> by_capacity_;
+    absl::flat_hash_map<std::string, std::uint32_t> places_;
     resources total_;
     std::size_t listed_ = 0;
     fit_index plain_;
     fit_index accelerated_;
+    fit_index spare_; ///< Accelerated workers, less what they keep.
+    fit_index kept_;  ///< What is free on workers with kept room.
 };
 
 /// How many tasks of that size fit into the room; at most `enough`.
