One reservation at once for each kind of worker

Cause: two reservations at once held 2 to 3% of the fleet idle, and a gang without accelerators could hold up those that need them. Change: one reservation for jobs with accelerators, one for the others.

--- a/src/policy/fair_scheduler_settings.hpp
+++ b/src/policy/fair_scheduler_settings.hpp
@@ -15,7 +15,7 @@
 
     /// Keeps room for gangs, and for tasks that wait long, until they fit.
     bool reserve = true;
-    std::size_t reservations = 2;
+    std::size_t reservations = 1; ///< Of each kind of worker.
     /// A job that waited this long goes before the shares of the teams.
     milliseconds starving_after{600'000};
 
--- a/src/policy/reservations.cpp
+++ b/src/policy/reservations.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds task_patience{60'000};
 constexpr milliseconds overdue_by{60'000};
 constexpr std::size_t gangs_looked_at = 4;
+constexpr std::size_t candidates_tried = 4;
 /// Reservations together keep room on at most this part of the workers, but
 /// for a single one, which may need more.
 constexpr std::size_t kept_divisor = 4;
@@ -160,25 +161,39 @@
 
 void reservations::plan()
 {
+    bool plain = count_of(false) < state_.settings.reservations;
+    bool accelerated = count_of(true) < state_.settings.reservations;
     if (!state_.settings.reserve || state_.now < next_plan_ ||
-        made_.size() >= state_.settings.reservations)
+        (!plain && !accelerated))
     {
         return;
     }
     next_plan_ = state_.now + plan_every;
     std::vector<candidate> found = candidates();
-    std::size_t wanted = state_.settings.reservations - made_.size();
-    std::size_t first = std::min(found.size(), 2 * wanted);
+    std::size_t first = std::min(found.size(), candidates_tried);
     std::partial_sort(
         found.begin(),
         found.begin() + static_cast<std::ptrdiff_t>(first),
         found.end());
-    for (std::size_t at = 0; at < first && wanted > 0; ++at)
+    for (std::size_t at = 0; at < first; ++at)
     {
-        wanted -= reserve(found[at]) ? 1 : 0;
+        job_slot slot = std::get<job_slot>(found[at].key);
+        bool kind = state_.jobs.at(slot).request.each.accelerators > 0;
+        if (count_of(kind) < state_.settings.reservations)
+        {
+            reserve(found[at]);
+        }
     }
 }
 
+std::size_t reservations::count_of(bool accelerated) const
+{
+    auto of_kind = [accelerated](const reservation& one)
+    { return (one.size.accelerators > 0) == accelerated; };
+    auto count = std::count_if(made_.begin(), made_.end(), of_kind);
+    return static_cast<std::size_t>(count);
+}
+
 void reservations::add_slot_times(
     worker_slot worker,
     const resources& size,
@@ -247,7 +262,7 @@
     return count;
 }
 
-bool reservations::reserve(const candidate& chosen)
+void reservations::reserve(const candidate& chosen)
 {
     job_slot slot = std::get<job_slot>(chosen.key);
     const job_entry& job = state_.jobs.at(slot);
@@ -270,7 +285,7 @@
     }
     if (times.size() < needed)
     {
-        return false;
+        return;
     }
     auto sooner = [](const slot_time& left, const slot_time& right) {
         return std::tie(left.at, left.worker) <
@@ -310,11 +325,10 @@
     if (!alone && (workers_kept() + made.rooms.size()) * kept_divisor >
                       state_.workers.size())
     {
-        return false;
+        return;
     }
     keep(made);
     made_.push_back(std::move(made));
-    return true;
 }
 
 } // namespace acaciastile::impl
--- a/src/policy/reservations.hpp
+++ b/src/policy/reservations.hpp
@@ -80,7 +80,9 @@
         team_slot team, double share, std::vector<candidate>& found) const;
     void add_candidate(
         job_slot slot, double share, std::vector<candidate>& found) const;
-    [[nodiscard]] bool reserve(const candidate& chosen);
+    void reserve(const candidate& chosen);
+    /// Reservations of jobs that need accelerators, or of the others.
+    [[nodiscard]] std::size_t count_of(bool accelerated) const;
     [[nodiscard]] std::vector<slot_time>
     slot_times(const resources& size, std::int64_t tasks, bool accelerated);
     void add_slot_times(
