--- a/src/policy/preemptor.cpp
+++ b/src/policy/preemptor.cpp
@@ -14,6 +14,9 @@
 /// What ends by itself within this time is not stopped.
 constexpr milliseconds ends_soon{30'000};
 constexpr std::size_t claims_at_once = 16;
+/// Searches for victims in one call, and the time to the next such call.
+constexpr std::size_t searches_at_once = 4;
+constexpr milliseconds search_every{50};
 constexpr std::size_t workers_looked_at = 256;
 /// Part of a worker that standing headroom may take at most.
 constexpr std::int64_t headroom_divisor = 8;
@@ -203,17 +206,19 @@
 
 void preemptor::make_room_for_urgent(decisions& made)
 {
-    if (!state_.settings.preempt)
+    if (!state_.settings.preempt || state_.now < next_plan_)
     {
         return;
     }
+    std::size_t searches = 0;
     auto tier = static_cast<std::size_t>(queue_tier::urgent);
     for (const auto& [share, team] : state_.orders[tier].order())
     {
         const waiting_jobs& queue = state_.waiting[tier][team];
         for (const auto& [index, jobs] : queue.all_classes())
         {
-            if (claims_.size() >= claims_at_once)
+            if (claims_.size() >= claims_at_once ||
+                searches >= searches_at_once)
             {
                 return;
             }
@@ -223,6 +228,8 @@
             bool allowed = state_.need_of(job).fits_in(state_.teams.left(team));
             if (!patient && allowed && !is_claimed(slot))
             {
+                next_plan_ = state_.now + search_every;
+                ++searches;
                 make_room_for(slot, made);
             }
         }
--- a/src/policy/preemptor.hpp
+++ b/src/policy/preemptor.hpp
@@ -64,6 +64,7 @@
     resources headroom_;
     std::size_t headroom_workers_ = 0;
     worker_slot next_worker_ = 0;
+    instant next_plan_{};
 };
 
 } // namespace acaciastile::impl
