--- a/tests/entry/refusals_test.cpp
+++ b/tests/entry/refusals_test.cpp
@@ -90,8 +90,10 @@
         {refusal_code::queue_full, 429},
         {refusal_code::log_unavailable, 503},
         {refusal_code::no_owner, 503}};
-    for (const auto& [code, status] : refusals)
+    for (const auto& expected : refusals)
     {
+        const refusal_code code = expected.first;
+        const long status = expected.second;
         INFO(to_string(code));
         REQUIRE_CALL(made.cell, submit(_, _, _, _))
             .SIDE_EFFECT(_4(refuse(code, "for a reason")));
