--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run test build install policy-bench capacity membership-bench
+.PHONY: run test test-sanitizers build install policy-bench capacity membership-bench
 
 # Installs what is missing, builds, and runs the main job on the embedded
 # platform.
@@ -9,6 +9,15 @@
 test: build
 	ctest --test-dir build/release --output-on-failure -j 4
 
+# The same tests under the sanitizers: addresses and undefined behaviour, then
+# data races.
+test-sanitizers: install
+	for kind in asan tsan; do \
+		cmake --preset $$kind >/dev/null && \
+		cmake --build --preset $$kind && \
+		ctest --test-dir build/$$kind --output-on-failure -j 4 || exit 1; \
+	done
+
 build: install
 	cmake --preset release >/dev/null
 	cmake --build --preset release
