--- /dev/null
+++ b/bench/support/policy_job_shapes.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "domain/work_class.hpp"
+#include "support/policy_workload.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace acaciastile::bench
+{
+
+/// What one class of work in a mix looks like.
+struct job_shape
+{
+    work_class policy;
+    const char* name;
+    double part;         ///< Of the load; zero: by rate.
+    double per_minute;   ///< Arrivals, where the part is zero.
+    double median_run_s; ///< Of a log-normal run time.
+    double sigma;        ///< Of the logarithm of the run time.
+    double longest_s;
+    std::int64_t least_milli;
+    std::int64_t most_milli;
+    std::int64_t mib_per_milli_x1000; ///< Memory to processors.
+    std::uint32_t least_tasks;
+    std::uint32_t most_tasks;
+    std::int64_t accelerators;
+};
+
+/// The mix of a site.
+[[nodiscard]] std::vector<job_shape> shapes_of(workload_site site);
+
+} // namespace acaciastile::bench
--- a/src/policy/reservations.cpp
+++ b/src/policy/reservations.cpp
@@ -262,36 +262,15 @@
     return count;
 }
 
-void reservations::reserve(const candidate& chosen)
+void reservations::choose_rooms(
+    std::vector<slot_time>& times, reservation& made)
 {
-    job_slot slot = std::get<job_slot>(chosen.key);
-    const job_entry& job = state_.jobs.at(slot);
-    reservation made;
-    made.job = slot;
-    made.order = job.order;
-    made.size = state_.charge_of(job);
-    made.tasks =
-        job.is_gang() ? static_cast<std::int64_t>(job.waiting.size()) : 1;
-    made.made_at = state_.now;
-    made.starving = chosen.starving;
-    auto needed = static_cast<std::size_t>(made.tasks);
-    bool accelerated = made.size.accelerators > 0;
-    std::vector<slot_time> times =
-        slot_times(made.size, made.tasks, accelerated);
-    if (times.size() < needed && !accelerated)
-    {
-        auto more = slot_times(made.size, made.tasks, true);
-        times.insert(times.end(), more.begin(), more.end());
-    }
-    if (times.size() < needed)
-    {
-        return;
-    }
     auto sooner = [](const slot_time& left, const slot_time& right) {
         return std::tie(left.at, left.worker) <
                std::tie(right.at, right.worker);
     };
     std::sort(times.begin(), times.end(), sooner);
+    auto needed = static_cast<std::size_t>(made.tasks);
     made.ready_at = times[needed - 1].at;
     // The workers with the most room by then, so that few are kept.
     absl::btree_map<worker_slot, std::int64_t> by_worker;
@@ -321,6 +300,34 @@
         left -= room.tasks;
         made.rooms.push_back(room);
     }
+}
+
+void reservations::reserve(const candidate& chosen)
+{
+    job_slot slot = std::get<job_slot>(chosen.key);
+    const job_entry& job = state_.jobs.at(slot);
+    reservation made;
+    made.job = slot;
+    made.order = job.order;
+    made.size = state_.charge_of(job);
+    made.tasks =
+        job.is_gang() ? static_cast<std::int64_t>(job.waiting.size()) : 1;
+    made.made_at = state_.now;
+    made.starving = chosen.starving;
+    auto needed = static_cast<std::size_t>(made.tasks);
+    bool accelerated = made.size.accelerators > 0;
+    std::vector<slot_time> times =
+        slot_times(made.size, made.tasks, accelerated);
+    if (times.size() < needed && !accelerated)
+    {
+        auto more = slot_times(made.size, made.tasks, true);
+        times.insert(times.end(), more.begin(), more.end());
+    }
+    if (times.size() < needed)
+    {
+        return;
+    }
+    choose_rooms(times, made);
     bool alone = made_.empty();
     if (!alone && (workers_kept() + made.rooms.size()) * kept_divisor >
                       state_.workers.size())
--- a/src/policy/reservations.hpp
+++ b/src/policy/reservations.hpp
@@ -81,6 +81,8 @@
     void add_candidate(
         job_slot slot, double share, std::vector<candidate>& found) const;
     void reserve(const candidate& chosen);
+    /// Takes the soonest times that suffice, on as few workers as they allow.
+    static void choose_rooms(std::vector<slot_time>& times, reservation& made);
     /// Reservations of jobs that need accelerators, or of the others.
     [[nodiscard]] std::size_t count_of(bool accelerated) const;
     [[nodiscard]] std::vector<slot_time>
