--- /dev/null
+++ b/tests/support/protocol_model.hpp
@@ -0,0 +1,242 @@
+#pragma once
+
+#include "cell/cell_state.hpp"
+#include "cell/shard_fold.hpp"
+#include "platform/embedded/embedded_worker.hpp"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace acaciastile::protocol
+{
+
+/// The rules of which one may be left out, to see that the search finds it.
+enum class broken_rule
+{
+    none,
+    worker_checks_epoch,
+    worker_checks_incarnation,
+    worker_checks_lease,
+    owner_reads_assignment,
+    owner_waits_for_lapse,
+    owner_confirms_seal
+};
+
+/// What is searched: everything that is not bounded here takes all orders.
+struct bounds
+{
+    std::size_t workers = 1;
+    std::size_t steps = 20;
+    std::size_t messages = 2; ///< In flight at once, answers included.
+    int ticks = 4;
+    int claims = 2; ///< Beyond the first owner's.
+    int restarts = 1;
+    int timeouts = 1; ///< Calls that an owner gives up.
+    int give_ups = 1; ///< Appends whose writer stops waiting for them.
+    std::uint32_t attempts = 2;
+    bool repeatable = true;
+    broken_rule broken = broken_rule::none;
+};
+
+constexpr std::size_t owner_count = 2;
+constexpr std::size_t most_workers = 2;
+constexpr std::size_t attempt_slots = 4; ///< Attempts count from one.
+constexpr milliseconds tick{1'000};
+constexpr milliseconds lease{1'000};
+constexpr milliseconds silence_limit{1'000};
+constexpr milliseconds margin{100};
+constexpr std::int64_t drift_per_mille = 10;
+constexpr std::int64_t worker_drift_ppm = -10'000;
+
+/// One place in a stream: the real fold of all records up to it. Places are
+/// shared by all states, and the same record after the same place is the same.
+template<class Fold, class Record>
+struct place
+{
+    const place* before = nullptr;
+    std::size_t depth = 0;
+    std::size_t number = 0; ///< Names the place in a state's key.
+    Record record;
+    fold_outcome outcome;
+    Fold fold;
+    std::map<std::string, std::unique_ptr<place>> after;
+
+    /// The place after one more record; `name` tells records apart.
+    const place* append(const std::string& name, Record next) const
+    {
+        auto& kept = const_cast<place*>(this)->after[name];
+        if (!kept)
+        {
+            static std::size_t numbers = 0;
+            kept = std::make_unique<place>();
+            kept->before = this;
+            kept->depth = depth + 1;
+            kept->number = ++numbers;
+            kept->record = std::move(next);
+            kept->fold = fold;
+            kept->outcome = kept->fold.apply(kept->depth, kept->record);
+        }
+        return kept.get();
+    }
+};
+
+using cell_place = place<cell_state, cell_record>;
+using shard_place = place<shard_fold, shard_record>;
+
+enum class phase : std::uint8_t
+{
+    none,
+    unsent,
+    sent,
+    adopted,
+    running
+};
+
+/// What an owner knows of one worker, as cell/worker_link.hpp.
+struct link_model
+{
+    bool sealed = false;
+    bool confirmed = false; ///< The log was read since the seal's answer.
+    bool reachable = true;
+    bool in_flight = false;
+    bool sealing = false;
+    bool has_strays = false;
+    std::uint64_t incarnation = 0;
+    std::optional<worker_instant> reading;
+    instant read_at{};
+    instant sent_at{};
+    instant lapse_at{};
+    std::array<phase, attempt_slots> held{};
+    std::array<bool, attempt_slots> starts{};
+    std::array<bool, attempt_slots> stops{};
+    std::array<bool, attempt_slots> forgets{};
+    std::array<bool, attempt_slots> sent_forgets{};
+
+    [[nodiscard]] bool holds_any() const;
+    /// There is cause for a message now.
+    [[nodiscard]] bool is_due(instant now) const;
+};
+
+/// A record on its way to the shard's stream.
+struct pending_record
+{
+    std::string name;
+    shard_record record;
+};
+
+/// One owner, as cell/shard_owner.hpp; epoch zero where it owns nothing.
+struct owner_model
+{
+    const cell_place* cell = nullptr;
+    const shard_place* shard = nullptr;
+    instant contact{};
+    shard_epoch epoch = 0;
+    shard_epoch lost_epoch = 0; ///< A worker refused this epoch's seal.
+    bool open = false;
+    bool assigning = false; ///< An assignment was written and not read.
+    std::shared_ptr<const pending_record> pending;
+    std::shared_ptr<const pending_record> given_up; ///< May still land.
+    std::optional<std::uint32_t> ending; ///< Attempt whose end is written.
+    std::array<link_model, most_workers> links;
+};
+
+/// A message to a worker or its answer. An answer that the owner does not
+/// await any more is as good as dropped.
+struct message
+{
+    std::size_t owner = 0;
+    std::size_t worker = 0;
+    bool awaited = true;
+    std::shared_ptr<const worker_call> call;
+    std::shared_ptr<const result<worker_report>> answer; ///< Null till then.
+    std::shared_ptr<const std::string> text; ///< Names what it carries.
+};
+
+/// A real worker with what its face does not show.
+struct worker_box
+{
+    embedded_worker real;
+    worker_instant latest_lease{};
+    std::map<std::uint32_t, worker_instant> forgotten;
+    std::string key;
+};
+
+struct state
+{
+    int now = 0; ///< In ticks.
+    int claims = 0;
+    int restarts = 0;
+    int timeouts = 0;
+    int give_ups = 0;
+    int starts = 0; ///< Of the one task, on all workers.
+    const cell_place* cell = nullptr;
+    const shard_place* shard = nullptr;
+    std::array<owner_model, owner_count> owners;
+    std::vector<std::shared_ptr<const worker_box>> workers;
+    std::vector<message> flight;
+
+    [[nodiscard]] std::string key() const;
+};
+
+/// The steps of the protocol on a state.
+class model
+{
+public:
+    using visit = std::function<void(const std::string& step, state next)>;
+
+    explicit model(bounds limits);
+
+    [[nodiscard]] const state& first() const noexcept { return first_; }
+    /// Calls `found` for each state that one step leads to.
+    void steps(const state& from, const visit& found);
+    /// Empty where the promises hold, else what was broken.
+    [[nodiscard]] std::string broken(const state& at) const;
+
+private:
+    void owner_steps(const state& from, std::size_t owner, const visit& found);
+    void log_steps(const state& from, std::size_t owner, const visit& found);
+    void link_steps(
+        const state& from,
+        std::size_t owner,
+        std::size_t worker,
+        const visit& found);
+    void flight_steps(const state& from, std::size_t at, const visit& found);
+    void listen();
+    void take_first_steps();
+    void world_steps(const state& from, const visit& found);
+
+    void read_cell(state& at, std::size_t owner) const;
+    void read_shard(state& at, std::size_t owner) const;
+    void gain(state& at, owner_model& owner, shard_epoch epoch) const;
+    void open(owner_model& owner) const;
+    void lose(state& at, std::size_t owner) const;
+    void follow(owner_model& owner, const shard_place& place) const;
+    void end(owner_model& owner, std::uint32_t attempt, bool ran) const;
+    void write(owner_model& owner, shard_change change, std::string name) const;
+    void send(state& at, std::size_t owner, std::size_t worker) const;
+    void timed_out(state& at, std::size_t owner, std::size_t worker) const;
+    void lapse(owner_model& owner, link_model& link) const;
+    void deliver(state& at, std::size_t message);
+    void answered(state& at, std::size_t message) const;
+    void on_report(
+        owner_model& owner,
+        link_model& link,
+        const worker_report& report,
+        instant now) const;
+    std::shared_ptr<const worker_box>
+    changed(state& at, std::size_t worker, std::function<void(worker_box&)> by);
+
+    bounds limits_;
+    run_journal journal_;
+    int started_ = 0;
+    std::unique_ptr<cell_place> cell_root_;
+    std::unique_ptr<shard_place> shard_root_;
+    state first_;
+};
+
+} // namespace acaciastile::protocol
