--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run test build install policy-bench capacity membership-bench
+.PHONY: run test test-processes build install policy-bench capacity membership-bench
 
 # Installs what is missing, builds, and runs the main job on the embedded
 # platform.
@@ -30,3 +30,8 @@
 # Measures what membership costs a member at rising numbers of members.
 membership-bench: build
 	build/release/bench/membership_cost
+
+# Nine real processes on loopback: one killed, one paused past its lease, one
+# stopped under load; then every promise is held against what truly ran.
+test-processes: build
+	tests/processes/run
