A shutdown answers what open connections still bring

Cause: http_listener held its lock while it waited for the last answers, and the control thread asks the listener for its count at every tick: from then on no answer could come. Found by scripts/trial-shutdown: an instance that was stopped under load ended with status 3, and 50 requests were given up after their deadline.

Change: nobody waits under that lock; what open connections bring after the last answer is waited for too. tests/entry/shutdown_test.cpp brings it about.

--- a/src/entry/http_daemon.cpp
+++ b/src/entry/http_daemon.cpp
@@ -280,12 +280,13 @@
 {
     begin_closing();
     stop_accepting();
-    const bool answered = traffic_.wait_answered(bound);
-    if (answered)
+    if (!traffic_.wait_answered(bound))
     {
-        static_cast<void>(traffic_.wait_closed(linger));
+        return false;
     }
-    return answered && traffic_.in_hand() == 0;
+    // An open connection may still bring a request: it is answered as well.
+    static_cast<void>(traffic_.wait_closed(linger));
+    return traffic_.wait_answered(bound);
 }
 
 } // namespace acaciastile
--- a/src/entry/http_daemon.hpp
+++ b/src/entry/http_daemon.hpp
@@ -41,8 +41,9 @@
     void begin_closing() { closing_.store(true); }
 
     /// Accepts no further connection, waits for the answers in hand at most
-    /// `bound`, then for silent connections to close at most `linger`. False
-    /// where a request was without its answer when the bound passed.
+    /// `bound`, then for silent connections to close at most `linger` and for
+    /// what they still brought at most `bound`. False where a request was
+    /// without its answer when a bound passed.
     [[nodiscard]] bool finish(milliseconds bound, milliseconds linger);
 
     [[nodiscard]] std::size_t in_hand() const { return traffic_.in_hand(); }
--- a/src/entry/http_listener.cpp
+++ b/src/entry/http_listener.cpp
@@ -68,7 +68,7 @@
     {
         return tl::unexpected(fresh.error());
     }
-    std::unique_ptr<http_daemon> old;
+    std::shared_ptr<http_daemon> old;
     {
         const std::lock_guard lock(guard_);
         old = std::exchange(daemon_, *std::move(fresh));
@@ -77,17 +77,21 @@
     return {};
 }
 
-void http_listener::begin_closing()
+std::shared_ptr<http_daemon> http_listener::daemon() const
 {
     const std::lock_guard lock(guard_);
-    daemon_->begin_closing();
+    return daemon_;
+}
+
+void http_listener::begin_closing()
+{
+    daemon()->begin_closing();
 }
 
 bool http_listener::finish(milliseconds bound)
 {
-    const std::lock_guard lock(guard_);
     socket_.close();
-    return daemon_->finish(bound, last_linger);
+    return daemon()->finish(bound, last_linger);
 }
 
 std::string http_listener::address() const
@@ -97,8 +101,7 @@
 
 std::size_t http_listener::in_hand() const
 {
-    const std::lock_guard lock(guard_);
-    return daemon_->in_hand();
+    return daemon()->in_hand();
 }
 
 } // namespace acaciastile
--- a/src/entry/http_listener.hpp
+++ b/src/entry/http_listener.hpp
@@ -53,12 +53,15 @@
         listen_socket socket);
 
     [[nodiscard]] result<std::unique_ptr<http_daemon>> make_daemon();
+    /// The server in use. Nobody waits while the lock is held: the control
+    /// thread asks for counts at every tick.
+    [[nodiscard]] std::shared_ptr<http_daemon> daemon() const;
 
     listener_shared shared_;
     listen_socket socket_;
     std::uint16_t port_ = 0;
     mutable std::mutex guard_;
-    std::unique_ptr<http_daemon> daemon_;
+    std::shared_ptr<http_daemon> daemon_;
 };
 
 } // namespace acaciastile
--- a/tests/entry/shutdown_test.cpp
+++ b/tests/entry/shutdown_test.cpp
@@ -1,7 +1,9 @@
+#include "cli/api_client.hpp"
 #include "support/entry_fixture.hpp"
 
 #include <catch2/catch.hpp>
 #include <future>
+#include <thread>
 #include <vector>
 
 using namespace acaciastile;
@@ -84,3 +86,39 @@
     made.thread->post([&] { kept(request_answer{}); });
     answer.wait();
 }
+
+TEST_CASE(
+    "what comes over an open connection in the end is answered", "[entry]")
+{
+    entry_fixture made;
+    auto client =
+        api_client::create({made.service->external_address()}).value();
+    REQUIRE(client->call("GET", "/health").has_value());
+    std::promise<void> taken;
+    completion<request_answer> kept;
+    REQUIRE_CALL(made.cell, request(_, _, _, _))
+        .LR_SIDE_EFFECT(kept = _4; taken.set_value());
+    auto finished = std::async(
+        std::launch::async,
+        [&] { return made.service->finish(milliseconds(20'000)); });
+    auto answer = std::async(
+        std::launch::async,
+        [&]
+        {
+            return client->call(
+                "POST",
+                "/v1/requests",
+                R"({"id":"r","queue":"q",)"
+                R"("each":{"milli_processors":100,"memory_mib":64}})");
+        });
+    REQUIRE(
+        taken.get_future().wait_for(long_enough) == std::future_status::ready);
+    // Past the linger: the request is still in hand and is waited for.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+    made.thread->post(
+        [&] {
+            kept(request_answer{job_id("r"), "whole", false});
+        });
+    CHECK(answer.get().has_value());
+    CHECK(finished.get());
+}
