--- a/src/cell/claim_planner.hpp
+++ b/src/cell/claim_planner.hpp
@@ -39,7 +39,7 @@
 {
 public:
     [[nodiscard]] static claim_planner
-    create(instance_id self, claim_settings settings, instant started);
+    create(instance_id self, claim_settings settings);
 
     [[nodiscard]] claim_plan plan(
         instant now,
@@ -48,15 +48,31 @@
         const membership& members);
 
 private:
-    claim_planner(instance_id self, claim_settings settings, instant started);
+    /// When this instance first saw the claim that is in force.
+    struct claim_sight
+    {
+        shard_epoch epoch = 0;
+        instant first{};
+    };
 
+    claim_planner(instance_id self, claim_settings settings);
+
+    /// The successor that a release names, where it is alive, else the member
+    /// that hashing prefers.
+    [[nodiscard]] static const instance_id& next_owner(
+        const shard_claim* claim,
+        const member& preferred,
+        const membership& members);
     [[nodiscard]] bool owner_is_gone(
-        instant now, const shard_claim& claim, const membership& members) const;
+        instant now,
+        const shard_id& shard,
+        const shard_claim& claim,
+        const membership& members);
     void note_members(instant now, const std::vector<member>& alive);
 
     instance_id self_;
     claim_settings settings_;
-    instant started_;
+    std::map<shard_id, claim_sight> sights_;
     std::vector<instance_id> last_alive_;
     instant stable_since_{};
     instant released_at_{};
