--- a/src/cell/cell_follower.hpp
+++ b/src/cell/cell_follower.hpp
@@ -19,7 +19,7 @@
 
 struct cell_follower_settings
 {
-    stream_reader_settings reader;
+    stream_reader_settings reader{.poll_interval = milliseconds{500}};
     snapshot_store_settings snapshots;
     snapshot_policy policy;
     /// Between tries to load where the log keeps neither the wanted offset
--- a/src/cell/instance.hpp
+++ b/src/cell/instance.hpp
@@ -139,6 +139,7 @@
         const job_spec& spec,
         completion<bool> done) override;
     [[nodiscard]] instant last_log_contact() const override;
+    void confirm_claims() override { follower_->poll_soon(); }
     [[nodiscard]] bool is_vm_leaving(const worker_id& worker) const override;
     [[nodiscard]] std::string next_record_id() override;
     event_sink& events() override { return *ports_.events; }
--- a/src/cell/instance_settings.hpp
+++ b/src/cell/instance_settings.hpp
@@ -38,7 +38,7 @@
     record_writer_settings writer; ///< For the cell's stream.
     std::size_t shard_workers = shard_map::default_shard_workers;
     milliseconds vm_poll{2'000};
-    milliseconds claim_interval{200};
+    milliseconds claim_interval{500};
     /// Keyed work is refused where neither the log nor a peer was heard for
     /// this long.
     milliseconds key_staleness{5'000};
--- a/src/cell/shard_host.hpp
+++ b/src/cell/shard_host.hpp
@@ -31,6 +31,9 @@
         const shard_id& to, const job_spec& spec, completion<bool> done) = 0;
     /// Last contact with the log, directly or through a peer.
     [[nodiscard]] virtual instant last_log_contact() const = 0;
+    /// Reads the log at the next tick: a worker that was just sealed may only
+    /// be used once its owner's claim was seen to be in force after the seal.
+    virtual void confirm_claims() = 0;
     [[nodiscard]] virtual bool is_vm_leaving(const worker_id& worker) const = 0;
     /// A name for a new record that no other record has.
     [[nodiscard]] virtual std::string next_record_id() = 0;
--- a/src/cell/shard_owner.hpp
+++ b/src/cell/shard_owner.hpp
@@ -214,6 +214,9 @@
     bool releasing_ = false;
     bool log_up_ = true;
     instant next_plan_{};
+    instant next_refresh_{};
+    /// Largest task that each team queued since the last plan.
+    std::map<team_name, resources> largest_;
     std::set<team_name> bounded_; ///< Teams that the last plan named.
     instant next_restate_{};
     job_id restated_last_;
--- a/src/cell/shard_owner_decide.cpp
+++ b/src/cell/shard_owner_decide.cpp
@@ -15,6 +15,10 @@
 /// Between plans that a new demand asks for.
 constexpr milliseconds least_plan_interval{20};
 
+/// Between looks at what the VM list and the operators say of all workers;
+/// what a worker says itself counts at once.
+constexpr milliseconds refresh_interval{100};
+
 /// The kinds of work in the order in which they are stopped where a team has
 /// more running than it may.
 int stop_rank(const job_spec& spec)
@@ -187,6 +191,8 @@
 
 void shard_owner::plan_soon(const job_spec& spec)
 {
+    resources& largest = largest_[spec.team];
+    largest = max(largest, spec.each);
     const resources held = host_.cell().allowance(shard_.id, spec.team);
     const resources wanted = scheduler_->usage_of(spec.team) + spec.each;
     if (!wanted.fits_in(held))
@@ -258,6 +264,7 @@
                 }
             });
     }
+    largest_.clear();
     stop_excess(plan.excess);
 }
 
@@ -320,6 +327,10 @@
     {
         team_load load{
             scheduler_->usage_of(team.name), scheduler_->demand_of(team.name)};
+        if (auto seen = largest_.find(team.name); seen != largest_.end())
+        {
+            load.largest = seen->second;
+        }
         const bool holds =
             !host_.cell().allowance(shard_.id, team.name).is_zero();
         if (holds || !load.running.is_zero() || !load.demand.is_zero())
@@ -332,6 +343,11 @@
 
 void shard_owner::refresh_worker_states()
 {
+    if (now() < next_refresh_)
+    {
+        return;
+    }
+    next_refresh_ = now() + refresh_interval;
     for (const auto& [id, worker] : links_)
     {
         set_worker_state_of(*worker);
@@ -363,6 +379,7 @@
     request.each = spec.each;
     request.run_time = spec.run_time;
     request.queued_at = now();
+    request.repeatable = spec.repeatable;
     request.waiting = std::move(waiting);
     return request;
 }
--- a/src/cell/shard_owner_ends.cpp
+++ b/src/cell/shard_owner_ends.cpp
@@ -15,16 +15,28 @@
     task_end how;
     how.succeeded = ended.outcome == attempt_outcome::succeeded;
     how.workers_fault = ended.outcome == attempt_outcome::failed;
+    how.stopped = ended.outcome != attempt_outcome::succeeded &&
+                  ended.outcome != attempt_outcome::failed;
     how.ran = ended.ran;
     how.peak_usage = ended.peak_usage;
     return how;
 }
 
+/// The end of an attempt that says nothing about its worker or its size.
+task_end lost_end()
+{
+    task_end how;
+    how.stopped = true;
+    return how;
+}
+
 } // namespace
 
 void shard_owner::on_sealed(const worker_id& worker)
 {
     emit(event_number::worker_sealed, {{"worker", worker.str()}});
+    next_refresh_ = instant{};
+    host_.confirm_claims();
 }
 
 void shard_owner::on_reachable(
@@ -176,7 +188,7 @@
 void shard_owner::on_missing(const worker_id& worker, const attempt_id& attempt)
 {
     (void)worker;
-    scheduler_->end(attempt.task, {});
+    scheduler_->end(attempt.task, lost_end());
     lose_attempt(attempt, "its worker does not know it any more");
 }
 
@@ -191,7 +203,7 @@
     emit(
         event_number::worker_lapsed,
         {{"attempt", to_string(attempt)}, {"worker", worker.str()}});
-    scheduler_->end(attempt.task, {});
+    scheduler_->end(attempt.task, lost_end());
     lose_attempt(attempt, "its lease lapsed");
 }
 
--- a/src/cell/shard_settings.hpp
+++ b/src/cell/shard_settings.hpp
@@ -17,7 +17,9 @@
     worker_link_settings link;
     allowance_settings allowance;
     record_writer_settings writer;
-    stream_reader_settings reader;
+    /// The owner is the only writer of its stream and reads after each of its
+    /// appends; the interval only finds an outage.
+    stream_reader_settings reader{.poll_interval = milliseconds{2'000}};
     /// An owner that has not heard of the log for this long, directly or
     /// through a peer, stops renewing leases. A new owner waits for it
     /// before it believes that workers it cannot reach have stopped.
--- a/src/cli/serve_settings.hpp
+++ b/src/cli/serve_settings.hpp
@@ -27,7 +27,7 @@
     std::string bootstrap_salt;
     std::string bootstrap_hash;
     instance_tuning tuning;
-    milliseconds tick{10};
+    milliseconds tick{20};
     log_settings log;
     milliseconds readiness_grace{3'000}; ///< From not ready to not listening.
     milliseconds shutdown_bound{30'000}; ///< For the answers in hand.
--- a/src/cli/setting_field.cpp
+++ b/src/cli/setting_field.cpp
@@ -124,7 +124,7 @@
         setting_type::duration,
         "instance.tick",
         "Between two rounds of the control thread.",
-        "10ms",
+        "20ms",
         1,
         second,
         into_duration([](serve_settings & s) -> auto& { return s.tick; })));
--- a/src/entry/control_thread.hpp
+++ b/src/entry/control_thread.hpp
@@ -21,7 +21,7 @@
 
 struct control_thread_settings
 {
-    milliseconds tick{10};          ///< Between two ticks.
+    milliseconds tick{20};          ///< Between two ticks.
     std::size_t queue_bound = 8192; ///< Waiting calls; more are refused.
 };
 
