--- a/tests/support/protocol_model.hpp
+++ b/tests/support/protocol_model.hpp
@@ -36,8 +36,13 @@
     int ticks = 4;
     int claims = 2; ///< Beyond the first owner's.
     int restarts = 1;
-    int timeouts = 1; ///< Calls that an owner gives up.
-    int give_ups = 1; ///< Appends whose writer stops waiting for them.
+    int timeouts = 1;      ///< Calls that an owner gives up.
+    int give_ups = 1;      ///< Appends whose writer stops waiting for them.
+    bool notices = false;  ///< The first owner calls also without cause.
+    bool assigned = false; ///< Begins with an assignment to the first worker.
+    /// Starts wait until the log was read after the seal. The links of
+    /// cell/worker_link.cpp do not wait: only new decisions do.
+    bool confirmed_starts = false;
     std::uint32_t attempts = 2;
     bool repeatable = true;
     broken_rule broken = broken_rule::none;
