--- a/tests/processes/check_journal.cpp
+++ b/tests/processes/check_journal.cpp
@@ -367,6 +367,30 @@
     return "refused " + refusal.value("code", "?") + ", " + verdict_of(call);
 }
 
+/// An answer that never came is no broken promise, but a fault where nothing
+/// had failed.
+void print_untold(const run_record& run)
+{
+    std::set<std::string> succeeded;
+    for (const json& entry : run.journal)
+    {
+        if (entry.at("what") == "succeeded")
+        {
+            succeeded.insert(entry.at("job"));
+        }
+    }
+    const auto untold = std::count_if(
+        run.calls.begin(),
+        run.calls.end(),
+        [&succeeded](const sent_call& call)
+        {
+            return call.kind == "request" && call.http != http_ok &&
+                   succeeded.contains(call.id);
+        });
+    std::printf(
+        "requests that succeeded and whose caller was not told: %td\n", untold);
+}
+
 void print_summary(const run_record& run, const counts& starts)
 {
     std::map<std::string, counts> by_phase;
@@ -392,6 +416,7 @@
         std::printf("journal    %-44s %5zu\n", what.c_str(), count);
     }
     std::printf("ids started: %zu\n", starts.size());
+    print_untold(run);
 }
 
 /// Each call has one outcome, each start at most one end, and what ran was
