--- a/tests/cell/worker_link_test.cpp
+++ b/tests/cell/worker_link_test.cpp
@@ -269,7 +269,8 @@
     CHECK(cell.count(run_event::started) == 1);
 }
 
-TEST_CASE("a stale owner starts nothing on a restarted worker", "[worker_link]")
+TEST_CASE(
+    "a restarted worker gets no start before the log was read", "[worker_link]")
 {
     bench cell;
     auto old_link = cell.connect("a", 5);
--- a/tests/support/protocol_model.cpp
+++ b/tests/support/protocol_model.cpp
@@ -757,8 +757,7 @@
     const bool may_grant = link.sealed && link.reachable && link.reading;
     const bool confirmed =
         link.confirmed || limits_.broken == broken_rule::owner_confirms_seal;
-    const bool may_start =
-        may_grant && confirmed;
+    const bool may_start = may_grant && confirmed;
     if (may_grant)
     {
         const milliseconds elapsed = now - link.read_at;
