--- a/tests/golden/sessions_limits_test.cpp
+++ b/tests/golden/sessions_limits_test.cpp
@@ -111,3 +111,30 @@
     CHECK(answers_to(played, "plan-1") == words{"unauthenticated"});
     CHECK(answers_to(played, "plan-2") == words{"unauthenticated"});
 }
+
+TEST_CASE("golden: what waits says why", "[golden]")
+{
+    story cell("waits_say_why");
+    start_some(cell);
+    ask portal{"portal-1", "portal", job_kind::service, 6};
+    portal.each = {8'000, 1'024, 0};
+    portal.runs = milliseconds{0};
+    cell.submit("a", "planning", portal);
+    cell.run(seconds{2});
+    ask gang{"gang-1", "fittings", job_kind::gang, 2};
+    gang.each = {8'000, 1'024, 0};
+    cell.submit("b", "orders", gang);
+    ask huge{"huge-1", "plans"};
+    huge.each = {64'000, 1'024, 0};
+    cell.submit("b", "planning", huge);
+    cell.run(seconds{30});
+    cell.status("c", "planning", "portal-1");
+    cell.status("c", "orders", "gang-1");
+    cell.run(seconds{2});
+    const transcript played = cell.finish();
+    check("waits_say_why", played);
+    CHECK(starts_of(played, "portal-1") == 4);
+    CHECK(answers_to(played, "huge-1") == words{"can_never_run"});
+    CHECK(has_line(played, "portal-1 queued=2 running=4 why="));
+    CHECK(has_line(played, "gang-1 queued=2 why="));
+}
--- a/tests/golden/story.cpp
+++ b/tests/golden/story.cpp
@@ -68,6 +68,10 @@
             text += " " + std::string(name) + "=" + std::to_string(count);
         }
     }
+    if (status.why)
+    {
+        text += " why=" + status.why->reason;
+    }
     return status.answer.empty() ? text : text + " answer=" + status.answer;
 }
 
