One form of status, answer and error for peers and callers

Cause: the same fields were written in two places, with two names for the id and the verdict. Change: the HTTP interface writes what peers write.

--- a/src/cell/peer_codec.cpp
+++ b/src/cell/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include "cell/peer_codec.hpp"
 
 #include "codec/document_codec.hpp"
+#include "codec/enum_names.hpp"
 #include "codec/field_reader.hpp"
 
 namespace acaciastile
@@ -11,19 +12,6 @@
 
 using json = nlohmann::json;
 
-constexpr auto job_kind_names =
-    std::to_array<std::pair<job_kind, std::string_view>>({
-        {job_kind::service, "service"},
-        {job_kind::batch, "batch"},
-        {job_kind::gang, "gang"},
-        {job_kind::request, "request"},
-    });
-
-std::string_view name_of(job_kind kind)
-{
-    return job_kind_names[static_cast<std::size_t>(kind)].second;
-}
-
 /// Ends the reading of one object.
 template<class Value>
 result<Value> finished(const field_reader& reader, Value value)
@@ -86,10 +74,10 @@
 json to_json(const job_status& value)
 {
     json object{
-        {"id", value.job.str()},
+        {"job", value.job.str()},
         {"team", value.team.str()},
         {"queue", value.queue.str()},
-        {"kind", name_of(value.kind)},
+        {"kind", to_string(value.kind)},
         {"tasks", counts_to_json(value.tasks)},
         {"cancelled", value.cancelled},
         {"answer", value.answer},
@@ -109,7 +97,7 @@
     job_status status;
     explanation why;
     field_reader reader(value, path);
-    reader.require("id", status.job)
+    reader.require("job", status.job)
         .require("team", status.team)
         .require("queue", status.queue)
         .require_enum("kind", status.kind, job_kind_names)
@@ -130,7 +118,7 @@
 json to_json(const request_answer& value)
 {
     return {
-        {"id", value.job.str()},
+        {"job", value.job.str()},
         {"answer", value.answer},
         {"repeated", value.repeated}};
 }
@@ -140,7 +128,7 @@
 {
     request_answer answer;
     field_reader reader(value, path);
-    reader.require("id", answer.job)
+    reader.require("job", answer.job)
         .require("answer", answer.answer)
         .optional("repeated", answer.repeated);
     return finished(reader, std::move(answer));
--- a/src/cli/job_flags.cpp
+++ b/src/cli/job_flags.cpp
@@ -2,7 +2,7 @@
 
 #include "cli/text_file.hpp"
 #include "cli/unit_values.hpp"
-#include "entry/job_kind_name.hpp"
+#include "codec/enum_names.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/time/time.h>
@@ -66,7 +66,7 @@
         return tl::unexpected(each.error());
     }
     const std::string kind_name = kind == job_kind::request
-                                      ? std::string(name_of(kind))
+                                      ? std::string(to_string(kind))
                                       : absl::GetFlag(FLAGS_kind);
     nlohmann::json body{
         {"id", absl::GetFlag(FLAGS_id)},
--- a/src/codec/document_codec.cpp
+++ b/src/codec/document_codec.cpp
@@ -177,7 +177,7 @@
 {
     json made = {
         {"code", to_string(value.code)},
-        {"effect", to_string(value.effect)},
+        {"verdict", to_string(value.effect)},
         {"message", value.message}};
     if (value.position != source_position{})
     {
@@ -344,7 +344,7 @@
     error made;
     field_reader fields(value, path);
     fields.require_enum("code", made.code, refusal_code_names)
-        .require_enum("effect", made.effect, verdict_names)
+        .require_enum("verdict", made.effect, verdict_names)
         .optional("message", made.message)
         .optional("position", made.position, read_position);
     if (auto checked = fields.finish(); !checked)
--- a/tests/golden/promises_test.cpp
+++ b/tests/golden/promises_test.cpp
@@ -86,7 +86,7 @@
 
 TEST_CASE("a sound session breaks no promise", "[promises]")
 {
-    CHECK(broken(make_sound()) == words{});
+    CHECK(broken(make_sound()).empty());
     CHECK(all_promises().size() == 10);
 }
 
@@ -137,7 +137,7 @@
     transcript played = make_sound();
     played.limits.push_back({at_ms(1'000), "planning", {1'000, 4'096, 0}});
     // Within the time that a lowering may take both limits count.
-    CHECK(broken(played) == words{});
+    CHECK(broken(played).empty());
     for (run_entry& run : played.runs)
     {
         run.at += milliseconds{30'000};
@@ -179,7 +179,7 @@
 {
     transcript played = make_sound();
     played.workers_leaving["w1"] = at_ms(1'000);
-    CHECK(broken(played) == words{});
+    CHECK(broken(played).empty());
     for (run_entry& run : played.runs)
     {
         run.at += milliseconds{10'000};
