An instance is healthy before its first round

Cause: /health compared the last round with the clock, and before the first round that was the clock's beginning: a fresh instance said 503 until its control thread had made a round. A run of the tests on a busy machine met it (shutdown_test, api_client_test). Change: the entry counts its control thread as heard when it is made.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -55,7 +55,11 @@
     return made;
 }
 
-entry_service::entry_service(entry_ports ports) : ports_(std::move(ports)) {}
+entry_service::entry_service(entry_ports ports) : ports_(std::move(ports))
+{
+    // Before its first round the control thread counts as just heard.
+    state_.tell(ports_.clock.now(), false);
+}
 
 void entry_service::tick(instant now)
 {
--- a/tests/support/entry_fixture.hpp
+++ b/tests/support/entry_fixture.hpp
@@ -14,7 +14,9 @@
 /// A whole entry on loopback before a mock of the control code.
 struct entry_fixture
 {
-    explicit entry_fixture(entry_settings settings = small_settings())
+    /// Where `begun` is false the control thread makes no round.
+    explicit entry_fixture(
+        entry_settings settings = small_settings(), bool begun = true)
         : thread(control_thread::create({}, clock, *measured))
     {
         service = entry_service::create(
@@ -30,7 +32,10 @@
                            return {};
                        }})
                       .value();
-        thread->start([this](instant now) { service->tick(now); });
+        if (begun)
+        {
+            thread->start([this](instant now) { service->tick(now); });
+        }
         client = std::make_unique<test_client>(service->external_address());
     }
 
