Leases of silent workers end; failures count by the queue's terms; stand-ins

Change: the queue's terms are stored with the job; calls to a silent worker carry no lease; a worker is called until it was told. src/standin: stand-ins of store, workers and policy service under a manual clock. Besides, for that LOST: a question for the policy service given to a VM that started anew was forgotten and its step waited for ever; it is handed out again (advice_board_test fails without it), and a worker whose registration shows a new life is sealed anew.

--- a/src/fleet/advice_board.cpp
+++ b/src/fleet/advice_board.cpp
@@ -19,6 +19,10 @@
     const instance_id& vm, instant now, instant until, taker give)
 {
     seen_[vm] = now;
+    if (auto lost = given_.extract(vm))
+    {
+        add(std::move(lost.mapped().question)); // The VM knows of none.
+    }
     if (const auto at = visitors_.find(vm); at != visitors_.end())
     {
         at->second.give(std::nullopt); // The VM gave that call up.
--- a/src/fleet/configuration.hpp
+++ b/src/fleet/configuration.hpp
@@ -34,6 +34,18 @@
     std::optional<advice_terms> advice;
 };
 
+/// An accepted job: what is stored before the caller is answered.
+struct accepted_job
+{
+    job_id id;
+    queue_name queue;
+    account_name account;
+    job_request request;
+    /// The queue's settings at acceptance; in force where the configuration
+    /// no longer has the queue.
+    queue_settings terms;
+};
+
 struct account_settings
 {
     account_name name;
@@ -140,4 +152,12 @@
     std::map<std::string, account_name> account_of_key_;
 };
 
+/// The settings of a job's queue: those in force, else those at acceptance.
+[[nodiscard]] inline const queue_settings&
+terms_of(const configuration& config, const accepted_job& job) noexcept
+{
+    const queue_settings* found = config.find(job.queue);
+    return found == nullptr ? job.terms : *found;
+}
+
 } // namespace acaciastile::fleet
--- a/src/fleet/job.hpp
+++ b/src/fleet/job.hpp
@@ -52,15 +52,6 @@
     milliseconds interval{0};
 };
 
-/// An accepted job: what is stored before the caller is answered.
-struct accepted_job
-{
-    job_id id;
-    queue_name queue;
-    account_name account;
-    job_request request;
-};
-
 /// One step in one occurrence of a job.
 struct step_id
 {
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -284,7 +284,9 @@
     const bool was_draining = before != nullptr && before->about.draining;
     if (workers_.upsert(*about))
     {
-        workers_.find(about->id)->next_hold = {};
+        worker_entry* worker = workers_.find(about->id);
+        worker->sealed = false; // A new life has not seen the token.
+        worker->next_hold = {};
     }
     if (about->draining && !was_draining)
     {
@@ -587,7 +589,7 @@
     {
         const bool wanted = !worker->sealed || !worker->reachable ||
                             !worker->runs.empty() ||
-                            worker->processed > worker->acknowledged;
+                            worker->processed > worker->told;
         if (wanted && !worker->hold_in_flight && worker->next_hold <= now &&
             (worker->listed || !worker->runs.empty()))
         {
@@ -601,7 +603,9 @@
     const instant now = ports_.clock.now();
     worker.hold_in_flight = true;
     std::optional<worker_instant> lease;
-    if (worker.sealed && !worker.runs.empty())
+    // An unanswered call may still extend the lease, which would put off the
+    // moment from which the runs of a silent worker have surely ended.
+    if (worker.sealed && worker.reachable && !worker.runs.empty())
     {
         lease = workers_.extend_lease(worker, now);
     }
@@ -627,13 +631,16 @@
         worker.acknowledged,
         lease,
         wait,
-        guarded([id = worker.about.id,
-                 now](fleet_owner& self, const result<worker_status>& told)
-                { self.on_hold(id, now, told); }));
+        guarded([id = worker.about.id, now, forgets = worker.acknowledged](
+                    fleet_owner& self, const result<worker_status>& told)
+                { self.on_hold(id, now, forgets, told); }));
 }
 
 void fleet_owner::on_hold(
-    const worker_id& id, instant asked, const result<worker_status>& told)
+    const worker_id& id,
+    instant asked,
+    std::uint64_t forgets,
+    const result<worker_status>& told)
 {
     worker_entry* worker = workers_.find(id);
     if (worker == nullptr)
@@ -650,6 +657,7 @@
             ports_.events.emit(
                 {event_number::worker_regained, {{"worker", id.str()}}});
         }
+        worker->told = std::max(worker->told, forgets);
         take_status(*worker, asked, *told);
         wake();
         return;
@@ -700,6 +708,7 @@
         worker.about.incarnation = status.incarnation;
         worker.processed = 0;
         worker.acknowledged = 0;
+        worker.told = 0;
         worker.clock = {};
         worker.clock_asked = {};
         worker.lease_until = {};
@@ -827,9 +836,12 @@
 std::uint32_t fleet_owner::attempts_of(const job_id& id)
 {
     const job_entry* job = jobs_.find(id);
-    const queue_settings* queue =
-        job == nullptr ? nullptr : ports_.config().find(job->job.queue);
-    return queue == nullptr ? 1 : std::max<std::uint32_t>(1, queue->attempts);
+    if (job == nullptr)
+    {
+        return 1;
+    }
+    const queue_settings& queue = terms_of(ports_.config(), job->job);
+    return std::max<std::uint32_t>(1, queue.attempts);
 }
 
 void fleet_owner::settle_missing(
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -162,7 +162,10 @@
     void hold_workers();
     void hold(worker_entry& worker);
     void on_hold(
-        const worker_id& id, instant asked, const result<worker_status>& told);
+        const worker_id& id,
+        instant asked,
+        std::uint64_t forgets,
+        const result<worker_status>& told);
     void take_status(
         worker_entry& worker, instant asked, const worker_status& status);
     void take_end(worker_entry& worker, const ended_run& ended);
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -91,18 +91,6 @@
     }
 };
 
-const queue_settings*
-planner::settings_of(const configuration& config, const queue_name& name)
-{
-    if (const queue_settings* found = config.find(name))
-    {
-        known_queues_[name] = *found;
-        return found;
-    }
-    const auto at = known_queues_.find(name);
-    return at == known_queues_.end() ? nullptr : &at->second;
-}
-
 plan planner::decide(
     job_book& jobs,
     worker_table& workers,
@@ -125,11 +113,7 @@
         {
             continue;
         }
-        const queue_settings* queue = settings_of(config, job->job.queue);
-        if (queue == nullptr)
-        {
-            continue;
-        }
+        const queue_settings* queue = &terms_of(config, job->job);
         for (auto& steps : job->occurrences)
         {
             for (step_entry& step : steps)
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -106,13 +106,9 @@
         const candidate& step,
         const worker_entry& worker,
         bool need_permit) const;
-    [[nodiscard]] const queue_settings*
-    settings_of(const configuration& config, const queue_name& name);
 
     planner_settings settings_;
     std::map<queue_name, double> allowed_share_;
-    /// Settings of queues as last seen, for jobs of queues that were removed.
-    std::map<queue_name, queue_settings> known_queues_;
     /// Workers that a gang keeps free for itself until it fits.
     std::map<step_id, std::set<worker_id>> held_;
 };
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -114,6 +114,47 @@
     return step;
 }
 
+/// Only what decides about a job's tasks is kept.
+json to_json(const queue_settings& terms)
+{
+    json advice = nullptr;
+    if (terms.advice)
+    {
+        advice = json::array(
+            {terms.advice->base.count(),
+             terms.advice->per_worker.count(),
+             terms.advice->valid.count()});
+    }
+    return json::array(
+        {terms.service.str(),
+         terms.priority,
+         terms.attempts,
+         terms.stretch,
+         terms.latency_objective.count(),
+         std::move(advice)});
+}
+
+queue_settings terms_from(const json& value, queue_name name)
+{
+    queue_settings terms;
+    terms.name = std::move(name);
+    terms.service = service_name(value.at(0).get<std::string>());
+    terms.priority = value.at(1).get<std::uint32_t>();
+    terms.attempts = value.at(2).get<std::uint32_t>();
+    terms.stretch = value.at(3).get<double>();
+    terms.latency_objective =
+        milliseconds(value.at(4).get<milliseconds::rep>());
+    if (!value.at(5).is_null())
+    {
+        auto& advice = terms.advice.emplace();
+        advice.base = decltype(advice.base)(value.at(5).at(0).get<double>());
+        advice.per_worker =
+            decltype(advice.per_worker)(value.at(5).at(1).get<double>());
+        advice.valid = milliseconds(value.at(5).at(2).get<milliseconds::rep>());
+    }
+    return terms;
+}
+
 /// Decodes MessagePack by a function that throws where a field is missing or
 /// of another type.
 template<class Value, class Read>
@@ -150,7 +191,8 @@
          std::move(steps),
          job.request.occurrences,
          job.request.first_due.time_since_epoch().count(),
-         job.request.interval.count()}));
+         job.request.interval.count(),
+         to_json(job.terms)}));
 }
 
 result<accepted_job>
@@ -174,6 +216,7 @@
                 wall_time(milliseconds(value.at(5).get<milliseconds::rep>()));
             job.request.interval =
                 milliseconds(value.at(6).get<milliseconds::rep>());
+            job.terms = terms_from(value.at(7), job.queue);
             return job;
         });
 }
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "domain/result.hpp"
-#include "fleet/job.hpp"
+#include "fleet/configuration.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -55,6 +55,7 @@
 
     std::uint64_t processed = 0;    ///< Highest end that was taken in.
     std::uint64_t acknowledged = 0; ///< Highest end whose effect is stored.
+    std::uint64_t told = 0;         ///< Highest end that it was told to forget.
 
     worker_instant clock{};       ///< As of `clock_read`.
     instant clock_read{};         ///< When the answer with the clock came.
--- /dev/null
+++ b/src/standin/memory_store.cpp
@@ -0,0 +1,251 @@
+#include "standin/memory_store.hpp"
+
+#include <algorithm>
+#include <memory>
+
+namespace acaciastile::standin
+{
+
+namespace
+{
+
+/// Callers stop waiting for an answer after this time.
+constexpr milliseconds answer_timeout{1'200};
+/// Repeats of an append that still get its answer.
+constexpr std::size_t kept_answers = 5;
+
+tl::unexpected<error> unavailable(verdict effect)
+{
+    return refuse(refusal_code::log_unavailable, effect, "the store is away");
+}
+
+} // namespace
+
+void memory_store::put(
+    const std::string& topic, const std::string& key, const std::string& value)
+{
+    static_cast<void>(append(topic, {{0, key, value}}, {}));
+}
+
+void memory_store::forget_before(const std::string& topic, log_offset offset)
+{
+    topic_data& data = topics_[topic];
+    while (data.first < offset && !data.records.empty())
+    {
+        data.records.erase(data.records.begin());
+        ++data.first;
+    }
+}
+
+log_offset memory_store::end(const std::string& topic) const
+{
+    const auto at = topics_.find(topic);
+    return at == topics_.end() ? 0
+                               : at->second.first + at->second.records.size();
+}
+
+std::string
+memory_store::newest(const std::string& topic, const std::string& key) const
+{
+    const auto at = topics_.find(topic);
+    if (at == topics_.end() || !at->second.newest.contains(key))
+    {
+        return {};
+    }
+    return at->second.newest.at(key).value;
+}
+
+void memory_store::add(topic_data& to, fleet::store_record record)
+{
+    record.offset = to.first + to.records.size();
+    if (record.value.empty())
+    {
+        to.newest.erase(record.key);
+    }
+    else if (!record.key.empty())
+    {
+        to.newest[record.key] = record;
+    }
+    to.records.push_back(std::move(record));
+}
+
+result<log_offset> memory_store::append(
+    const std::string& topic,
+    const std::vector<fleet::store_record>& records,
+    const fleet::append_options& options)
+{
+    topic_data& data = topics_[topic];
+    const log_offset end = data.first + data.records.size();
+    if (options.at && *options.at != end)
+    {
+        return refuse(refusal_code::revision_conflict, "another end");
+    }
+    if (options.by)
+    {
+        producer& by = data.producers[options.by->name];
+        if (options.by->epoch < by.epoch)
+        {
+            return refuse(refusal_code::stale_epoch, "fenced");
+        }
+        if (options.by->epoch > by.epoch)
+        {
+            by = {options.by->epoch, options.by->sequence, {}};
+        }
+        if (const auto before = by.answered.find(options.by->sequence);
+            before != by.answered.end())
+        {
+            return before->second;
+        }
+        if (options.by->sequence != by.next)
+        {
+            return refuse(refusal_code::stale_epoch, "seq");
+        }
+        ++by.next;
+        by.answered.emplace(options.by->sequence, end);
+        if (by.answered.size() > kept_answers)
+        {
+            by.answered.erase(by.answered.begin());
+        }
+    }
+    for (const fleet::store_record& record : records)
+    {
+        add(data, record);
+    }
+    std::vector<std::function<void()>> readers;
+    readers.swap(data.readers);
+    for (auto& reader : readers)
+    {
+        clock_.after(milliseconds::zero(), std::move(reader));
+    }
+    return end;
+}
+
+void memory_store::client::append(
+    const std::string& topic,
+    std::vector<fleet::store_record> records,
+    fleet::append_options options,
+    fleet::completion<log_offset> done)
+{
+    ++store_.calls.appends;
+    fleet::scheduler_clock& clock = store_.clock_;
+    switch (mode())
+    {
+    case store_mode::well:
+        clock.after(
+            store_.latency,
+            [this, topic, records, options, done]
+            { done(store_.append(topic, records, options)); });
+        return;
+    case store_mode::refusing:
+        clock.after(
+            store_.latency, [done] { done(unavailable(verdict::not_run)); });
+        return;
+    case store_mode::silent:
+        break;
+    case store_mode::losing_answers:
+        static_cast<void>(store_.append(topic, records, options));
+        break;
+    case store_mode::applying_late:
+        clock.after(
+            store_.lateness,
+            [this, topic, records, options]
+            { static_cast<void>(store_.append(topic, records, options)); });
+        break;
+    }
+    clock.after(
+        answer_timeout, [done] { done(unavailable(verdict::may_have_run)); });
+}
+
+void memory_store::client::read(
+    const std::string& topic,
+    log_offset from,
+    milliseconds wait,
+    fleet::completion<fleet::store_page> done)
+{
+    ++store_.calls.reads;
+    store_.clock_.after(
+        store_.latency,
+        [this,
+         topic,
+         from,
+         until = store_.clock_.now() + wait,
+         done = std::move(done)] { try_read(topic, from, until, done); });
+}
+
+void memory_store::client::try_read(
+    const std::string& topic,
+    log_offset from,
+    instant until,
+    fleet::completion<fleet::store_page> done)
+{
+    if (mode() == store_mode::refusing)
+    {
+        done(unavailable(verdict::not_run));
+        return;
+    }
+    if (mode() == store_mode::silent)
+    {
+        store_.clock_.after(
+            answer_timeout,
+            [done] { done(unavailable(verdict::may_have_run)); });
+        return;
+    }
+    topic_data& data = store_.topics_[topic];
+    const log_offset end = data.first + data.records.size();
+    if (from < data.first)
+    {
+        done(refuse(refusal_code::offset_expired, std::to_string(data.first)));
+        return;
+    }
+    if (from >= end && store_.clock_.now() < until)
+    {
+        auto answered = std::make_shared<bool>(false);
+        auto again = [this, topic, from, until, done, answered]
+        {
+            if (!*answered)
+            {
+                *answered = true;
+                try_read(topic, from, until, done);
+            }
+        };
+        data.readers.emplace_back(again);
+        store_.clock_.after(until - store_.clock_.now(), again);
+        return;
+    }
+    fleet::store_page page;
+    page.end = std::max(from, end);
+    if (from < end)
+    {
+        page.records.assign(
+            data.records.begin() +
+                static_cast<std::ptrdiff_t>(from - data.first),
+            data.records.end());
+    }
+    done(std::move(page));
+}
+
+void memory_store::client::read_newest(
+    const std::string& topic, fleet::completion<fleet::store_page> done)
+{
+    ++store_.calls.reads;
+    store_.clock_.after(
+        store_.latency,
+        [this, topic, done = std::move(done)]
+        {
+            if (mode() == store_mode::refusing || mode() == store_mode::silent)
+            {
+                done(unavailable(verdict::not_run));
+                return;
+            }
+            topic_data& data = store_.topics_[topic];
+            fleet::store_page page;
+            page.end = data.first + data.records.size();
+            for (const auto& [key, record] : data.newest)
+            {
+                page.records.push_back(record);
+            }
+            done(std::move(page));
+        });
+}
+
+} // namespace acaciastile::standin
--- /dev/null
+++ b/src/standin/worker_pool.cpp
@@ -0,0 +1,498 @@
+#include "standin/worker_pool.hpp"
+
+#include <algorithm>
+
+namespace acaciastile::standin
+{
+
+using fleet::run_end;
+using fleet::start_refusal;
+using fleet::task_ref;
+
+/// One life of a worker.
+struct worker_pool::life
+{
+    struct run
+    {
+        fleet::run_number number = 0;
+        instant started{};
+        bool working = false;
+    };
+    fleet::worker_registration about;
+    instant born{};
+    std::uint64_t token = 0;
+    worker_instant lease{};
+    std::map<task_ref, run> runs;
+    std::map<task_ref, fleet::run_number> barred; ///< Highest run refused.
+    std::vector<fleet::ended_run> ended;
+    std::uint64_t last_end = 0;
+    std::uint64_t acknowledged = 0;
+    bool over = false;
+    worker_pool::faults wrong;
+    std::vector<std::function<void()>> waiting;
+};
+
+worker_pool::worker_pool(fleet::scheduler_clock& clock, settings options)
+    : clock_(clock), options_(options)
+{
+    behaviour = [](const task_ref&) { return task_behaviour{}; };
+    needs = [](const task_ref&) { return resources{}; };
+    gang_size = [](const task_ref&) { return 0U; };
+    permitted = [](const worker_id&, const fleet::start_order&)
+    { return true; };
+}
+
+worker_pool::~worker_pool() = default;
+
+void worker_pool::add(fleet::worker_registration about)
+{
+    about.incarnation = next_incarnation_++;
+    auto made = std::make_shared<life>();
+    made->born = clock_.now();
+    made->about = about;
+    lives_[about.id] = std::move(made);
+}
+
+void worker_pool::restart(const worker_id& id)
+{
+    auto& at = lives_.at(id);
+    fleet::worker_registration about = at->about;
+    for (const auto& [task, run] : at->runs)
+    {
+        events_.push_back(
+            {worker_event::kind::ended,
+             clock_.now(),
+             id,
+             task,
+             run.number,
+             run_end::lapsed,
+             0,
+             {},
+             {}});
+    }
+    at->over = true;
+    add(std::move(about));
+}
+
+worker_pool::faults& worker_pool::faults_of(const worker_id& id)
+{
+    return lives_.at(id)->wrong;
+}
+
+std::size_t worker_pool::running() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, each] : lives_)
+    {
+        count += each->runs.size();
+    }
+    return count;
+}
+
+std::uint64_t worker_pool::token_of(const worker_id& id) const
+{
+    return lives_.at(id)->token;
+}
+
+std::uint64_t worker_pool::acknowledged_of(const worker_id& id) const
+{
+    return lives_.at(id)->acknowledged;
+}
+
+worker_instant worker_pool::clock_of(const life& of) const
+{
+    constexpr milliseconds first{1'000};
+    return worker_instant(clock_.now() - of.born + first);
+}
+
+template<class Answer>
+void worker_pool::deliver(
+    const fleet::worker_address& target,
+    std::function<result<Answer>(life&)> work,
+    fleet::completion<Answer> done)
+{
+    ++calls_;
+    const auto at = lives_.find(target.id);
+    auto lose = [this, done](verdict effect)
+    {
+        clock_.after(
+            options_.answer_timeout,
+            [done, effect]
+            { done(refuse(refusal_code::unreachable, effect, "timeout")); });
+    };
+    if (at == lives_.end() || at->second->wrong.silent)
+    {
+        lose(verdict::may_have_run);
+        return;
+    }
+    if (at->second->wrong.refusing)
+    {
+        done(refuse(refusal_code::unreachable, "refused"));
+        return;
+    }
+    const std::shared_ptr<life> there = at->second;
+    const milliseconds late = there->wrong.late;
+    const bool loses = there->wrong.losing_answers || late.count() > 0;
+    clock_.after(
+        late.count() > 0 ? late : options_.latency,
+        [there, work, done, loses]
+        {
+            if (there->over)
+            {
+                return;
+            }
+            result<Answer> answer = work(*there);
+            if (!loses)
+            {
+                done(std::move(answer));
+            }
+        });
+    if (loses)
+    {
+        lose(verdict::may_have_run);
+    }
+}
+
+void worker_pool::extend(life& of, worker_instant until)
+{
+    of.lease = std::max(
+        of.lease, std::min(until, clock_of(of) + options_.longest_lease));
+    clock_.after(
+        of.lease - clock_of(of),
+        [this, weak = std::weak_ptr<life>(lives_.at(of.about.id))]
+        {
+            if (const auto there = weak.lock())
+            {
+                lapse(*there);
+            }
+        });
+}
+
+void worker_pool::lapse(life& of)
+{
+    if (clock_of(of) < of.lease)
+    {
+        return;
+    }
+    while (!of.runs.empty())
+    {
+        const task_ref task = of.runs.begin()->first;
+        finish(of, task, of.runs.begin()->second.number, run_end::lapsed);
+    }
+}
+
+void worker_pool::finish(
+    life& of, const task_ref& task, fleet::run_number run, run_end how)
+{
+    const auto at = of.runs.find(task);
+    if (of.over || at == of.runs.end() || at->second.number != run)
+    {
+        return;
+    }
+    of.runs.erase(at);
+    auto& barred = of.barred[task];
+    barred = std::max(barred, run);
+    of.ended.push_back({++of.last_end, task, run, how, {}});
+    events_.push_back(
+        {worker_event::kind::ended,
+         clock_.now(),
+         of.about.id,
+         task,
+         run,
+         how,
+         of.token,
+         {},
+         {}});
+    std::vector<std::function<void()>> waiting;
+    waiting.swap(of.waiting);
+    for (auto& each : waiting)
+    {
+        each();
+    }
+    if (gang_size(task) <= 1 || how == run_end::done)
+    {
+        return;
+    }
+    for (const auto& [id, other] : lives_)
+    {
+        std::vector<task_ref> broken;
+        for (const auto& [member, its] : other->runs)
+        {
+            if (member.step == task.step && its.number == run)
+            {
+                broken.push_back(member);
+            }
+        }
+        for (const task_ref& member : broken)
+        {
+            finish(*other, member, run, run_end::gang_broken);
+        }
+    }
+}
+
+void worker_pool::begin_work(const task_ref& any, fleet::run_number run)
+{
+    const std::uint32_t size = std::max(1U, gang_size(any));
+    std::uint32_t present = 0;
+    for (const auto& [id, each] : lives_)
+    {
+        for (const auto& [task, its] : each->runs)
+        {
+            present += size == 1 ? task == any
+                                 : task.step == any.step && its.number == run;
+        }
+    }
+    if (present < size)
+    {
+        return;
+    }
+    const task_behaviour how = behaviour(any);
+    clock_.after(
+        how.fails ? milliseconds{50} : how.work,
+        [this, any, run, size, fails = how.fails]
+        {
+            for (const auto& [id, each] : lives_)
+            {
+                std::vector<task_ref> members;
+                for (const auto& [task, its] : each->runs)
+                {
+                    if (its.number == run &&
+                        (size == 1 ? task == any : task.step == any.step))
+                    {
+                        members.push_back(task);
+                    }
+                }
+                for (const task_ref& task : members)
+                {
+                    const bool bad = fails || each->wrong.failing;
+                    finish(
+                        *each,
+                        task,
+                        run,
+                        bad ? run_end::failed : run_end::done);
+                }
+            }
+        });
+}
+
+fleet::start_answer worker_pool::begin(
+    life& of,
+    std::uint64_t token,
+    worker_instant until,
+    const fleet::start_order& order)
+{
+    fleet::start_answer answer;
+    answer.clock = clock_of(of);
+    if (of.wrong.unhealthy)
+    {
+        answer.refusal = start_refusal::unhealthy;
+        return answer;
+    }
+    if (token < of.token)
+    {
+        answer.refusal = start_refusal::fenced;
+        return answer;
+    }
+    of.token = token;
+    if (until <= clock_of(of))
+    {
+        answer.refusal = start_refusal::too_late;
+        return answer;
+    }
+    const auto present = of.runs.find(order.task);
+    const auto barred = of.barred.find(order.task);
+    if (barred != of.barred.end() && order.run <= barred->second)
+    {
+        answer.refusal = start_refusal::superseded;
+        return answer;
+    }
+    extend(of, until);
+    if (present != of.runs.end() && present->second.number == order.run)
+    {
+        return answer;
+    }
+    if (!permitted(of.about.id, order))
+    {
+        answer.refusal = start_refusal::permit;
+        return answer;
+    }
+    of.runs[order.task] = {order.run, clock_.now(), false};
+    events_.push_back(
+        {worker_event::kind::started,
+         clock_.now(),
+         of.about.id,
+         order.task,
+         order.run,
+         run_end::done,
+         token,
+         order.payload,
+         order.checkpoint});
+    begin_work(order.task, order.run);
+    return answer;
+}
+
+void worker_pool::start(
+    const fleet::worker_address& target,
+    std::uint64_t token,
+    worker_instant lease_until,
+    fleet::start_order order,
+    fleet::completion<fleet::start_answer> done)
+{
+    deliver<fleet::start_answer>(
+        target,
+        [this, token, lease_until, order = std::move(order)](
+            life& of) -> result<fleet::start_answer>
+        { return begin(of, token, lease_until, order); },
+        std::move(done));
+}
+
+void worker_pool::stop(
+    const fleet::worker_address& target,
+    std::uint64_t token,
+    const task_ref& task,
+    fleet::run_number run,
+    fleet::completion<worker_instant> done)
+{
+    deliver<worker_instant>(
+        target,
+        [this, token, task, run](life& of) -> result<worker_instant>
+        {
+            if (token < of.token)
+            {
+                return refuse(refusal_code::stale_epoch, "fence");
+            }
+            of.token = token;
+            const auto at = of.runs.find(task);
+            if (at == of.runs.end() || at->second.number != run)
+            {
+                auto& barred = of.barred[task];
+                barred = std::max(barred, run);
+                return clock_of(of);
+            }
+            clock_.after(
+                options_.stop_time,
+                [this, id = of.about.id, task, run]
+                { finish(*lives_.at(id), task, run, run_end::stopped); });
+            return clock_of(of);
+        },
+        std::move(done));
+}
+
+fleet::worker_status worker_pool::status_of(const life& of) const
+{
+    fleet::worker_status status;
+    status.incarnation = of.about.incarnation;
+    status.clock = clock_of(of);
+    for (const auto& [task, run] : of.runs)
+    {
+        status.running.push_back({task, run.number, {}, 0});
+    }
+    status.ended = of.ended;
+    return status;
+}
+
+void worker_pool::answer_hold(
+    life& of, instant until, fleet::completion<fleet::worker_status> done)
+{
+    if (!of.ended.empty() || clock_.now() >= until)
+    {
+        done(status_of(of));
+        return;
+    }
+    auto told = std::make_shared<bool>(false);
+    auto tell = [this, told, done, there = lives_.at(of.about.id)]
+    {
+        if (!*told && !there->over && !there->wrong.silent)
+        {
+            *told = true;
+            done(status_of(*there));
+        }
+        else if (!*told)
+        {
+            *told = true;
+            done(refuse(
+                refusal_code::unreachable, verdict::may_have_run, "timeout"));
+        }
+    };
+    of.waiting.emplace_back(tell);
+    clock_.after(until - clock_.now(), tell);
+}
+
+void worker_pool::hold(
+    const fleet::worker_address& target,
+    std::uint64_t token,
+    std::uint64_t acknowledged,
+    std::optional<worker_instant> lease_until,
+    milliseconds wait,
+    fleet::completion<fleet::worker_status> done)
+{
+    const instant until = clock_.now() + wait;
+    auto answered = std::make_shared<bool>(false);
+    deliver<bool>(
+        target,
+        [this, token, acknowledged, lease_until, until, done, answered](
+            life& of) -> result<bool>
+        {
+            if (token < of.token)
+            {
+                return refuse(refusal_code::stale_epoch, "fence");
+            }
+            of.token = token;
+            of.acknowledged = std::max(of.acknowledged, acknowledged);
+            std::erase_if(
+                of.ended,
+                [&](const fleet::ended_run& each)
+                { return each.number <= acknowledged; });
+            if (lease_until)
+            {
+                extend(of, *lease_until);
+            }
+            *answered = true;
+            answer_hold(of, until, done);
+            return true;
+        },
+        [done, answered](const result<bool>& outcome)
+        {
+            if (!outcome && !*answered)
+            {
+                done(tl::unexpected(outcome.error()));
+            }
+        });
+}
+
+void policy_stand_in::ask(
+    const fleet::step_id& step,
+    const std::vector<worker_id>& workers,
+    milliseconds timeout,
+    fleet::completion<fleet::permits> done)
+{
+    ++calls;
+    if (silent)
+    {
+        clock_.after(
+            timeout,
+            [done] {
+                done(refuse(
+                    refusal_code::unreachable,
+                    verdict::may_have_run,
+                    "timeout"));
+            });
+        return;
+    }
+    const milliseconds work =
+        base + per_worker * static_cast<milliseconds::rep>(workers.size());
+    free_at_ = std::max(free_at_, clock_.now()) + work;
+    fleet::permits answer;
+    answer.valid = valid;
+    for (const worker_id& worker : workers)
+    {
+        if (!allows || allows(step, worker))
+        {
+            answer.allowed.push_back(
+                {worker, step.job.str() + "/" + worker.str()});
+        }
+    }
+    clock_.after(free_at_ - clock_.now(), [done, answer] { done(answer); });
+}
+
+} // namespace acaciastile::standin
--- /dev/null
+++ b/tests/fleet/advice_board_test.cpp
@@ -0,0 +1,99 @@
+#include "fleet/advice_board.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciastile;
+using namespace acaciastile::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+ask_decision
+question(const std::string& job, std::uint32_t priority, milliseconds expected)
+{
+    return {{job_id(job), 0, 0}, {worker_id("w")}, priority, expected};
+}
+
+/// A board with a clock and what each VM was given.
+struct fixture
+{
+    advice_board board;
+    instant now{10s};
+    std::map<std::string, std::vector<std::string>> given;
+
+    void come(const std::string& vm)
+    {
+        board.come(
+            instance_id(vm),
+            now,
+            now + 1s,
+            [this, vm](const std::optional<ask_decision>& what)
+            { given[vm].push_back(what ? what->step.job.str() : "nothing"); });
+    }
+};
+
+} // namespace
+
+TEST_CASE("urgent questions go first, one to each VM", "[advice]")
+{
+    fixture at;
+    at.board.add(question("slow", 2, 100ms));
+    at.board.add(question("urgent", 0, 10ms));
+    at.come("a");
+    CHECK(at.board.turn(at.now).empty());
+    CHECK(at.given["a"] == std::vector<std::string>{"urgent"});
+    at.come("b");
+    CHECK(at.board.turn(at.now).empty());
+    CHECK(at.given["b"] == std::vector<std::string>{"slow"});
+}
+
+TEST_CASE("long questions leave VMs free for short ones", "[advice]")
+{
+    fixture at;
+    for (const char* vm : {"a", "b", "c", "d"})
+    {
+        at.come(vm);
+    }
+    for (const char* job : {"l1", "l2", "l3", "l4"})
+    {
+        at.board.add(question(job, 1, 900ms));
+    }
+    CHECK(at.board.turn(at.now).empty());
+    CHECK(at.given.size() == 2);
+    at.board.add(question("short", 0, 10ms));
+    CHECK(at.board.turn(at.now).empty());
+    CHECK(at.given.size() == 3);
+}
+
+TEST_CASE("a question of a VM that came anew is handed out again", "[advice]")
+{
+    fixture at;
+    at.board.add(question("one", 1, 10ms));
+    at.board.add(question("two", 1, 10ms));
+    at.come("a");
+    CHECK(at.board.turn(at.now).empty());
+    at.come("a"); // The VM started anew and knows of no question.
+    CHECK(at.board.turn(at.now).empty());
+    at.come("b");
+    CHECK(at.board.turn(at.now).empty());
+    REQUIRE_FALSE(at.given["b"].empty());
+    std::set<std::string> handed;
+    handed.insert(at.given["a"].back());
+    handed.insert(at.given["b"].back());
+    CHECK(handed == std::set<std::string>{"one", "two"});
+}
+
+TEST_CASE("a question that is not answered in time is given back", "[advice]")
+{
+    fixture at;
+    at.board.add(question("one", 1, 10ms));
+    at.come("a");
+    CHECK(at.board.turn(at.now).empty());
+    at.now += 5s;
+    const auto overdue = at.board.turn(at.now);
+    REQUIRE(overdue.size() == 1);
+    CHECK(overdue.front().step.job.str() == "one");
+    CHECK_FALSE(
+        at.board.finish(instance_id("a"), overdue.front().step).has_value());
+}
--- /dev/null
+++ b/tests/fleet/owner_test.cpp
@@ -0,0 +1,214 @@
+#include "support/fleet_world.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciastile;
+using namespace acaciastile::test;
+using namespace std::chrono_literals;
+using fleet::job_state;
+
+TEST_CASE("a job of two steps runs each task once, in order", "[fleet]")
+{
+    fleet_world world;
+    auto second = tasks(3);
+    second.after = {0};
+    world.submit("a", {tasks(5), second});
+    CHECK(world.run_until("a", job_state::completed, 6s));
+    CHECK(world.broken_promises().empty());
+    CHECK(world.workers.events().size() == 2 * 8);
+}
+
+TEST_CASE(
+    "a task that fails as often as its queue allows fails its job", "[fleet]")
+{
+    fleet_world world;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{1s, true};
+    };
+    world.submit("a", {tasks(1)});
+    CHECK(world.run_until("a", job_state::failed, 4s));
+    world.run(2s);
+    CHECK(world.starts_of("a").size() == 2);
+}
+
+TEST_CASE(
+    "a failure counts by the terms of a queue that was removed", "[fleet]")
+{
+    fleet_world world;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{1s, true};
+    };
+    world.submit("a", {tasks(1)});
+    world.run(200ms);
+    world.config = fleet::configuration(2, {}, {}, {});
+    CHECK(world.run_until("a", job_state::failed, 4s));
+    world.run(2s);
+    CHECK(world.starts_of("a").size() == 2);
+}
+
+TEST_CASE(
+    "after the owner's death its successor goes on with what runs", "[fleet]")
+{
+    fleet_world world;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{4s, false};
+    };
+    world.submit("a", {tasks(20)});
+    world.run(1s);
+    REQUIRE(world.owner_vm() != nullptr);
+    const std::uint64_t token = world.owner()->token();
+    world.owner_vm()->kill();
+    CHECK(world.run_until("a", job_state::completed, 12s));
+    CHECK(world.owner()->token() > token);
+    CHECK(world.broken_promises().empty());
+    CHECK(world.starts_of("a").size() == 1);
+}
+
+TEST_CASE("an end is acknowledged only once its effect is stored", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.submit("a", {tasks(1)});
+    world.run(600ms);
+    world.store.mode = standin::store_mode::silent;
+    world.run(4s);
+    CHECK(world.workers.running() == 0);
+    CHECK(world.workers.acknowledged_of(worker_id("w0")) == 0);
+    CHECK(world.view("a").state != job_state::completed);
+    world.store.mode = standin::store_mode::well;
+    CHECK(world.run_until("a", job_state::completed, 4s));
+    world.run(500ms);
+    CHECK(world.workers.acknowledged_of(worker_id("w0")) == 1);
+}
+
+TEST_CASE("a start whose answer is lost is one run", "[fleet]")
+{
+    fleet_world world(1, 2);
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).losing_answers = true;
+    world.workers.faults_of(worker_id("w1")).losing_answers = true;
+    world.submit("a", {tasks(1)});
+    world.run(300ms);
+    world.workers.faults_of(worker_id("w0")).losing_answers = false;
+    world.workers.faults_of(worker_id("w1")).losing_answers = false;
+    CHECK(world.run_until("a", job_state::completed, 8s));
+    CHECK(world.broken_promises().empty());
+    CHECK(world.starts_of("a").size() == 1);
+}
+
+TEST_CASE("an order that is carried out late starts nothing twice", "[fleet]")
+{
+    fleet_world world(1, 2);
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).late = 3s;
+    world.workers.faults_of(worker_id("w1")).late = 3s;
+    world.submit("a", {tasks(4)});
+    world.run(40ms);
+    world.workers.faults_of(worker_id("w0")).late = 0s;
+    world.workers.faults_of(worker_id("w1")).late = 0s;
+    CHECK(world.run_until("a", job_state::completed, 12s));
+    world.run(5s);
+    CHECK(world.broken_promises().empty());
+}
+
+TEST_CASE(
+    "what ran on a silent worker starts elsewhere after its lease", "[fleet]")
+{
+    fleet_world world(1, 2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{6s, false};
+    };
+    world.submit("a", {tasks(20)});
+    world.run(1s);
+    world.workers.faults_of(worker_id("w0")).silent = true;
+    CHECK(world.run_until("a", job_state::completed, 30s));
+    CHECK(world.broken_promises() == std::vector<std::string>());
+}
+
+TEST_CASE("a worker that starts anew loses its runs at once", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{2s, false};
+    };
+    world.submit("a", {tasks(3)});
+    world.run(1s);
+    world.workers.restart(worker_id("w0"));
+    CHECK(world.run_until("a", job_state::completed, 6s));
+    CHECK(world.broken_promises().empty());
+    CHECK(world.starts_of("a").size() == 2);
+}
+
+TEST_CASE("a draining worker gets no new task", "[fleet]")
+{
+    fleet_world world(1, 2);
+    world.run(500ms);
+    world.register_worker("w0", "draining");
+    world.run(600ms);
+    world.submit("a", {tasks(10)});
+    CHECK(world.run_until("a", job_state::completed, 6s));
+    for (const auto& each : world.workers.events())
+    {
+        CHECK(each.worker != worker_id("w0"));
+    }
+}
+
+TEST_CASE(
+    "a cancelled job starts nothing more and what runs is stopped", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{5s, false};
+    };
+    world.submit("a", {tasks(30)});
+    world.run(700ms);
+    REQUIRE(world.workers.running() > 0);
+    bool known = false;
+    world.owner()->cancel(job_id("a"), [&](bool found) { known = found; });
+    world.run(100ms);
+    CHECK(known);
+    const std::size_t seen = world.workers.events().size();
+    world.run(1s);
+    CHECK(world.workers.running() == 0);
+    for (std::size_t n = seen; n < world.workers.events().size(); ++n)
+    {
+        CHECK(
+            world.workers.events()[n].what ==
+            standin::worker_event::kind::ended);
+    }
+    CHECK(world.view("a").state == job_state::cancelled);
+}
+
+TEST_CASE("a gang starts whole or not at all", "[fleet]")
+{
+    fleet_world world(1, 2);
+    auto gang = tasks(6, 4);
+    gang.gang = true;
+    world.submit("a", {gang});
+    world.submit("b", {gang});
+    CHECK(world.run_until("a", job_state::completed, 8s));
+    CHECK(world.run_until("b", job_state::completed, 8s));
+    CHECK(world.broken_promises().empty());
+    for (const auto& each : world.workers.events())
+    {
+        CHECK(each.how != fleet::run_end::gang_alone);
+    }
+}
+
+TEST_CASE("the account's cap bounds what it runs over the fleet", "[fleet]")
+{
+    fleet_world world(1, 4);
+    fleet::account_settings account;
+    account.name = fleet::account_name("acct");
+    account.cap = {5'000, 0, 0};
+    world.config =
+        fleet::configuration(2, world.config.queues(), {account}, {});
+    world.submit("a", {tasks(12)});
+    std::size_t most = 0;
+    for (int n = 0; n < 300; ++n)
+    {
+        world.run(20ms);
+        most = std::max(most, world.workers.running());
+    }
+    CHECK(most == 5);
+    CHECK(world.view("a").state == job_state::completed);
+}
--- /dev/null
+++ b/tests/support/fleet_world.cpp
@@ -0,0 +1,345 @@
+#include "support/fleet_world.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <set>
+#include <sstream>
+
+namespace acaciastile::test
+{
+
+const std::string& plain_records::configuration_topic() const
+{
+    static const std::string name = "operators";
+    return name;
+}
+
+const std::string& plain_records::configuration_key() const
+{
+    static const std::string name = "config";
+    return name;
+}
+
+const std::string& plain_records::registry_topic() const
+{
+    static const std::string name = "registry";
+    return name;
+}
+
+result<fleet::configuration>
+plain_records::read_configuration(const std::string& value) const
+{
+    return fleet::configuration(std::stoull(value), {}, {}, {});
+}
+
+std::optional<fleet::worker_registration> plain_records::read_registration(
+    const std::string& key, const std::string& value) const
+{
+    std::istringstream in(value);
+    fleet::worker_registration about;
+    std::string service;
+    std::string rack;
+    std::string state;
+    std::int64_t cores = 0;
+    std::int64_t gib = 0;
+    if (!(in >> about.incarnation >> service >> rack >> cores >> gib >> state))
+    {
+        return std::nullopt;
+    }
+    about.id = worker_id(key);
+    about.address = key;
+    about.service = fleet::service_name(service);
+    about.rack = rack_name(rack);
+    about.labels = {rack};
+    about.capacity = {cores * 1'000, gib * 1'024, 0};
+    about.draining = state == "draining";
+    return about;
+}
+
+void no_events::emit(const event& happened)
+{
+    if (!print)
+    {
+        return;
+    }
+    std::cerr << static_cast<int>(happened.number);
+    for (const auto& [name, value] : happened.fields)
+    {
+        std::cerr << ' ' << name << '=' << value;
+    }
+    std::cerr << '\n';
+}
+
+fleet::step_spec
+tasks(std::uint32_t count, std::int64_t cores, std::int64_t gib)
+{
+    fleet::step_spec step;
+    step.count = count;
+    step.each = {cores * 1'000, gib * 1'024, 0};
+    step.estimate = milliseconds{1'000};
+    return step;
+}
+
+fleet::configuration fleet_world::plain_config()
+{
+    fleet::queue_settings queue;
+    queue.name = queue_name("work");
+    queue.service = fleet::service_name("svc");
+    queue.attempts = 2;
+    fleet::account_settings account;
+    account.name = fleet::account_name("acct");
+    return fleet::configuration(1, {queue}, {account}, {});
+}
+
+fleet_world::fleet_world(std::size_t count, std::size_t worker_count)
+    : config(plain_config()), store(clock), workers(clock), policy(clock)
+{
+    workers.needs = [this](const fleet::task_ref& task)
+    {
+        const auto at = specs.find(task.step);
+        return at == specs.end() ? resources{} : room_of(at->second);
+    };
+    workers.gang_size = [this](const fleet::task_ref& task)
+    {
+        const auto at = specs.find(task.step);
+        return at != specs.end() && at->second.gang ? at->second.count : 0U;
+    };
+    for (std::size_t n = 0; n < worker_count; ++n)
+    {
+        add_worker("w" + std::to_string(n));
+    }
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        vms.push_back(
+            std::make_unique<vm>(*this, "vm" + std::to_string(n), 100 + n));
+        vms.back()->start();
+    }
+}
+
+fleet_world::~fleet_world() = default;
+
+void fleet_world::add_worker(
+    const std::string& id,
+    const std::string& rack,
+    std::int64_t cores,
+    std::int64_t gib)
+{
+    fleet::worker_registration about;
+    about.id = worker_id(id);
+    about.address = id;
+    about.rack = rack_name(rack);
+    about.capacity = {cores * 1'000, gib * 1'024, 0};
+    workers.add(about);
+    std::ostringstream value;
+    value << "1 svc " << rack << ' ' << cores << ' ' << gib << " ready";
+    store.put("registry", id, value.str());
+}
+
+void fleet_world::register_worker(
+    const std::string& id, const std::string& state)
+{
+    std::string value = store.newest("registry", id);
+    value = value.substr(0, value.rfind(' ') + 1) + state;
+    store.put("registry", id, value);
+}
+
+void fleet_world::submit(
+    const std::string& id,
+    std::vector<fleet::step_spec> steps,
+    const std::string& account)
+{
+    fleet::accepted_job job;
+    job.id = job_id(id);
+    job.queue = queue_name("work");
+    job.account = fleet::account_name(account);
+    job.request.payload = "payload-" + id;
+    job.request.steps = std::move(steps);
+    if (const auto* queue = config.find(job.queue))
+    {
+        job.terms = *queue;
+    }
+    for (std::uint32_t n = 0; n < job.request.steps.size(); ++n)
+    {
+        specs[{job.id, 0, n}] = job.request.steps[n];
+    }
+    store.put(fleet::topics::jobs, id, encode(job));
+}
+
+bool fleet_world::run_until(
+    const std::string& id, fleet::job_state state, milliseconds most)
+{
+    constexpr milliseconds step{20};
+    for (milliseconds spent{0}; spent < most; spent += step)
+    {
+        run(step);
+        const fleet::job_view seen = view(id);
+        if (seen.known && seen.state == state)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+fleet_world::vm* fleet_world::owner_vm() const
+{
+    for (const auto& each : vms)
+    {
+        if (each->owner && each->leaders->is_owner())
+        {
+            return each.get();
+        }
+    }
+    return nullptr;
+}
+
+std::shared_ptr<fleet::fleet_owner> fleet_world::owner() const
+{
+    vm* found = owner_vm();
+    return found == nullptr ? nullptr : found->owner;
+}
+
+fleet::job_view fleet_world::view(const std::string& id) const
+{
+    const auto found = owner();
+    return found && found->loaded() ? found->view(job_id(id))
+                                    : fleet::job_view{};
+}
+
+std::vector<standin::worker_event>
+fleet_world::starts_of(const std::string& job, std::uint32_t index) const
+{
+    std::vector<standin::worker_event> found;
+    for (const standin::worker_event& each : workers.events())
+    {
+        if (each.what == standin::worker_event::kind::started &&
+            each.task.step.job.str() == job && each.task.index == index)
+        {
+            found.push_back(each);
+        }
+    }
+    return found;
+}
+
+std::vector<std::string> fleet_world::broken_promises() const
+{
+    using kind = standin::worker_event::kind;
+    std::vector<std::string> broken;
+    std::map<fleet::task_ref, std::set<std::pair<worker_id, std::uint64_t>>>
+        running;
+    std::map<worker_id, resources> used;
+    std::set<fleet::task_ref> done;
+    for (const standin::worker_event& each : workers.events())
+    {
+        const std::string name = each.task.step.job.str() + "." +
+                                 std::to_string(each.task.step.step) + "." +
+                                 std::to_string(each.task.index);
+        const auto spec = specs.find(each.task.step);
+        const resources room =
+            spec == specs.end() ? resources{} : fleet::room_of(spec->second);
+        if (each.what == kind::ended)
+        {
+            running[each.task].erase({each.worker, each.run});
+            used[each.worker] -= room;
+            if (each.how == fleet::run_end::done)
+            {
+                done.insert(each.task);
+            }
+            continue;
+        }
+        if (!running[each.task].empty())
+        {
+            broken.push_back("two runs at once: " + name);
+        }
+        if (done.contains(each.task))
+        {
+            broken.push_back("started after it was done: " + name);
+        }
+        running[each.task].emplace(each.worker, each.run);
+        used[each.worker] += room;
+        const std::string value = store.newest("registry", each.worker.str());
+        const auto about =
+            plain_records().read_registration(each.worker.str(), value);
+        if (about && !used[each.worker].fits_in(about->capacity))
+        {
+            broken.push_back("over capacity: " + each.worker.str());
+        }
+        if (spec != specs.end())
+        {
+            for (const std::uint32_t before : spec->second.after)
+            {
+                fleet::task_ref other = each.task;
+                other.step.step = before;
+                for (other.index = 0; other.index < specs.at(other.step).count;
+                     ++other.index)
+                {
+                    if (!done.contains(other))
+                    {
+                        broken.push_back("before its predecessor: " + name);
+                    }
+                }
+            }
+        }
+    }
+    return broken;
+}
+
+// One VM.
+
+fleet_world::vm::vm(
+    fleet_world& world, const std::string& vm_name, std::uint64_t seed)
+    : link(world.store), name(vm_name), world_(world), seed_(seed)
+{
+}
+
+fleet_world::vm::~vm()
+{
+    kill();
+}
+
+void fleet_world::vm::kill()
+{
+    owner.reset();
+    leaders.reset();
+}
+
+void fleet_world::vm::start()
+{
+    fleet::leadership_settings leading;
+    leading.vm = instance_id(name);
+    leading.address = name + ":1";
+    leaders = fleet::leadership::create(
+        leading, link, world_.clock, world_.events, *this, seed_++);
+    leaders->start();
+}
+
+void fleet_world::vm::on_gained(std::uint64_t token)
+{
+    owner = fleet::fleet_owner::create(
+        world_.settings,
+        {link,
+         world_.workers,
+         records_,
+         world_.clock,
+         world_.events,
+         metrics_,
+         [this]() -> const fleet::configuration& { return world_.config; },
+         [this](const std::string& reason) { leaders->step_down(reason); }},
+        token);
+    owner->start();
+}
+
+void fleet_world::vm::on_lost()
+{
+    world_.clock.after(
+        milliseconds::zero(),
+        [this]
+        {
+            if (!leaders || !leaders->is_owner())
+            {
+                owner.reset();
+            }
+        });
+}
+
+} // namespace acaciastile::test
