A failure counts once; no job is denied without a read of the store

Ruled out: run numbers (they rise over owners in the logs). Change: failed runs are kept by number; an unknown id is looked for in the store before it is denied, and 503 where that fails.

--- a/src/edge/owner_link.cpp
+++ b/src/edge/owner_link.cpp
@@ -99,12 +99,7 @@
 {
     if (local_)
     {
-        if (!local_->loaded())
-        {
-            done(no_owner("the owner is loading"));
-            return;
-        }
-        done(local_->view(id));
+        local_->look_up(id, std::move(done));
         return;
     }
     call(
@@ -132,8 +127,7 @@
             done(no_owner("the owner is loading"));
             return;
         }
-        local_->cancel(
-            id, [done = std::move(done)](bool known) { done(known); });
+        local_->cancel(id, std::move(done));
         return;
     }
     call(
@@ -244,16 +238,30 @@
     const std::string path(request.target().data(), request.target().size());
     if (path == peer_paths::state)
     {
-        respond(reply(
-            http::status::ok, encode(owner->view(job_id(request.body())))));
+        owner->look_up(
+            job_id(request.body()),
+            [respond = std::move(respond)](const result<fleet::job_view>& view)
+            {
+                respond(
+                    view ? reply(http::status::ok, encode(*view))
+                         : reply(
+                               http::status::service_unavailable,
+                               view.error().message));
+            });
         return;
     }
     if (path == peer_paths::cancel)
     {
         owner->cancel(
             job_id(request.body()),
-            [respond = std::move(respond)](bool known)
-            { respond(reply(http::status::ok, known ? "1" : "0")); });
+            [respond = std::move(respond)](const result<bool>& known)
+            {
+                respond(
+                    known ? reply(http::status::ok, *known ? "1" : "0")
+                          : reply(
+                                http::status::service_unavailable,
+                                known.error().message));
+            });
         return;
     }
     if (path == peer_paths::pending)
--- a/src/fleet/job_book.cpp
+++ b/src/fleet/job_book.cpp
@@ -90,7 +90,7 @@
         {
             const step_progress& stored = progress.steps[k][s];
             step_entry& step = job->occurrences[k][s];
-            step.gang_failures = stored.gang_failures;
+            step.failed_gang_runs = stored.gang_failures;
             for (std::size_t i = 0;
                  i < stored.done.size() && i < step.tasks.size();
                  ++i)
@@ -102,11 +102,11 @@
                     ++step.done;
                 }
             }
-            for (const auto& [index, count] : stored.failures)
+            for (const auto& [index, runs] : stored.failures)
             {
                 if (index < step.tasks.size())
                 {
-                    step.tasks[index].failures = count;
+                    step.tasks[index].failed_runs = runs;
                 }
             }
         }
@@ -287,15 +287,18 @@
     wall_time wall)
 {
     task.failed_last = true;
-    const bool gang = job.spec(step.id).gang;
-    if (gang && step.gang_failed_run == run)
+    auto& failed_runs =
+        job.spec(step.id).gang ? step.failed_gang_runs : task.failed_runs;
+    if (std::find(failed_runs.begin(), failed_runs.end(), run) !=
+        failed_runs.end())
     {
-        return end_effect::task_again; // Another member told of it before.
+        // Told of before: by another member of the gang, or to the owner
+        // before this one.
+        return end_effect::task_again;
     }
-    step.gang_failed_run = run;
+    failed_runs.push_back(run);
     mark_changed(job);
-    const std::uint32_t failed = gang ? ++step.gang_failures : ++task.failures;
-    if (failed < attempts)
+    if (failed_runs.size() < attempts)
     {
         return end_effect::task_again;
     }
@@ -399,14 +402,14 @@
         for (const step_entry& step : steps)
         {
             step_progress& each = stored.emplace_back();
-            each.gang_failures = step.gang_failures;
+            each.gang_failures = step.failed_gang_runs;
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
             {
                 each.done.push_back(
                     step.tasks[i].state == task_entry::phase::done);
-                if (step.tasks[i].failures > 0)
+                if (!step.tasks[i].failed_runs.empty())
                 {
-                    each.failures.emplace(i, step.tasks[i].failures);
+                    each.failures.emplace(i, step.tasks[i].failed_runs);
                 }
             }
         }
--- a/src/fleet/job_book.hpp
+++ b/src/fleet/job_book.hpp
@@ -23,7 +23,7 @@
         done
     };
     phase state = phase::waiting;
-    std::uint32_t failures = 0;
+    std::vector<run_number> failed_runs;
     run_number run = 0; ///< The latest run.
     worker_id worker;   ///< Where the latest run is or was.
     bool failed_last = false;
@@ -55,9 +55,8 @@
     std::uint32_t waiting = 0;
     std::uint32_t active = 0;
     std::uint32_t done = 0;
-    std::uint32_t gang_failures = 0;
-    run_number gang_failed_run = 0; ///< The run that was counted last.
-    instant ready_since{};          ///< When its last predecessor was done.
+    std::vector<run_number> failed_gang_runs;
+    instant ready_since{}; ///< When its last predecessor was done.
     permit_entry permits;
 };
 
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -225,15 +225,7 @@
             {
                 if (page)
                 {
-                    for (const store_record& record : page->records)
-                    {
-                        self.take_job(record, false);
-                    }
-                    self.jobs_next_ = page->end;
-                    if (!page->records.empty())
-                    {
-                        self.wake();
-                    }
+                    self.take_jobs(*page);
                     self.later(
                         self.settings_.jobs_pause, &fleet_owner::tail_jobs);
                     return;
@@ -250,12 +242,7 @@
                             {
                                 if (newest)
                                 {
-                                    for (const auto& record : newest->records)
-                                    {
-                                        again.take_job(record, false);
-                                    }
-                                    again.jobs_next_ = newest->end;
-                                    again.wake();
+                                    again.take_jobs(*newest);
                                 }
                                 again.later(
                                     again.settings_.store_retry,
@@ -267,6 +254,44 @@
             }));
 }
 
+void fleet_owner::take_jobs(const store_page& page)
+{
+    for (const store_record& record : page.records)
+    {
+        take_job(record, false);
+    }
+    jobs_next_ = std::max(jobs_next_, page.end);
+    if (!page.records.empty())
+    {
+        wake();
+    }
+}
+
+void fleet_owner::read_jobs_now(std::function<void(const result<void>&)> done)
+{
+    if (!loaded_)
+    {
+        done(refuse(refusal_code::no_owner, "the owner is loading"));
+        return;
+    }
+    ports_.store.read(
+        topics::jobs,
+        jobs_next_,
+        milliseconds::zero(),
+        guarded(
+            [done = std::move(done)](
+                fleet_owner& self, const result<store_page>& page)
+            {
+                if (!page)
+                {
+                    done(tl::unexpected(page.error()));
+                    return;
+                }
+                self.take_jobs(*page);
+                done({});
+            }));
+}
+
 void fleet_owner::take_registration(const store_record& record)
 {
     if (record.value.empty())
@@ -1038,10 +1063,24 @@
 
 // Callers and peers.
 
-job_view fleet_owner::view(const job_id& id)
+void fleet_owner::look_up(const job_id& id, completion<job_view> done)
 {
-    const job_entry* job = jobs_.find(id);
-    return job == nullptr ? job_view{} : job_view{true, job->shown};
+    if (const job_entry* job = jobs_.find(id); job != nullptr && loaded_)
+    {
+        done(job_view{true, job->shown});
+        return;
+    }
+    read_jobs_now(
+        [this, id, done = std::move(done)](const result<void>& read)
+        {
+            if (!read)
+            {
+                done(tl::unexpected(read.error()));
+                return;
+            }
+            const job_entry* job = jobs_.find(id);
+            done(job == nullptr ? job_view{} : job_view{true, job->shown});
+        });
 }
 
 std::size_t fleet_owner::pending(const queue_name& queue) const
@@ -1049,27 +1088,48 @@
     return jobs_.pending(queue);
 }
 
-void fleet_owner::cancel(const job_id& id, std::function<void(bool)> done)
+void fleet_owner::cancel(const job_id& id, completion<bool> done)
 {
-    job_entry* job = jobs_.find(id);
-    if (job == nullptr)
+    if (job_entry* job = jobs_.find(id); job != nullptr && loaded_)
     {
-        done(false);
+        cancel_known(*job, std::move(done));
         return;
     }
-    const bool was_final = job->is_final();
-    jobs_.cancel(id, ports_.clock.wall());
+    read_jobs_now(
+        [this, id, done = std::move(done)](const result<void>& read)
+        {
+            job_entry* job = jobs_.find(id);
+            if (!read)
+            {
+                done(tl::unexpected(read.error()));
+            }
+            else if (job == nullptr)
+            {
+                done(false);
+            }
+            else
+            {
+                cancel_known(*job, done);
+            }
+        });
+}
+
+void fleet_owner::cancel_known(job_entry& job, completion<bool> done)
+{
+    const bool was_final = job.is_final();
     if (!was_final)
     {
-        ports_.events.emit({event_number::job_stop_asked, {{"job", id.str()}}});
-        stop_job(*job, "the job was cancelled");
+        ports_.events.emit(
+            {event_number::job_stop_asked, {{"job", job.job.id.str()}}});
+        jobs_.cancel(job.job.id, ports_.clock.wall());
+        stop_job(job, "the job was cancelled");
     }
-    if (was_final && !job->changed && !flushing_)
+    if (was_final && !job.changed && !flushing_)
     {
         done(true);
         return;
     }
-    jobs_.mark_changed(*job);
+    jobs_.mark_changed(job);
     after_flush_.push_back([done = std::move(done)] { done(true); });
     wake();
 }
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -98,14 +98,17 @@
     [[nodiscard]] bool loaded() const noexcept { return loaded_; }
     [[nodiscard]] std::uint64_t token() const noexcept { return token_; }
 
-    [[nodiscard]] job_view view(const job_id& id);
+    /// What is shown of a job. A job that is not known is looked for in the
+    /// store first. Errors: `log_unavailable` where that fails.
+    void look_up(const job_id& id, completion<job_view> done);
     [[nodiscard]] std::size_t pending(const queue_name& queue) const;
 
     /// Takes in a job that this VM has stored, before the topic is read.
     void accept(accepted_job job);
 
     /// Cancels a job; `done` hears whether it is known once that is stored.
-    void cancel(const job_id& id, std::function<void(bool)> done);
+    /// Errors: as `look_up`.
+    void cancel(const job_id& id, completion<bool> done);
 
     /// A VM comes for a question to the policy service.
     void come_for_work(
@@ -139,6 +142,11 @@
     void poll_registry();
     void tail_jobs();
     void take_job(const store_record& record, bool inherited);
+    /// Reads on in the topic of jobs; `done` hears whether all that was stored
+    /// before this call is known now.
+    void read_jobs_now(std::function<void(const result<void>&)> done);
+    void take_jobs(const store_page& page);
+    void cancel_known(job_entry& job, completion<bool> done);
     [[nodiscard]] bool inherited_may_start();
 
     // Rounds.
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -91,9 +91,9 @@
         done.push_back(each ? '1' : '0');
     }
     json failures = json::array();
-    for (const auto& [index, count] : step.failures)
+    for (const auto& [index, runs] : step.failures)
     {
-        failures.push_back(json::array({index, count}));
+        failures.push_back(json::array({index, runs}));
     }
     return json::array({done, std::move(failures), step.gang_failures});
 }
@@ -108,9 +108,10 @@
     for (const json& row : value.at(1))
     {
         step.failures.emplace(
-            row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>());
+            row.at(0).get<std::uint32_t>(),
+            row.at(1).get<std::vector<run_number>>());
     }
-    step.gang_failures = value.at(2).get<std::uint32_t>();
+    step.gang_failures = value.at(2).get<std::vector<run_number>>();
     return step;
 }
 
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -16,8 +16,10 @@
 struct step_progress
 {
     std::vector<bool> done; ///< By task index; shorter where the rest is not.
-    std::map<std::uint32_t, std::uint32_t> failures; ///< Failed runs by task.
-    std::uint32_t gang_failures = 0;
+    /// Numbers of the failed runs of each task: an end may be listed again to
+    /// the next owner, and counts once.
+    std::map<std::uint32_t, std::vector<run_number>> failures;
+    std::vector<run_number> gang_failures; ///< Of the step as a whole.
 
     [[nodiscard]] bool operator==(const step_progress&) const = default;
 };
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -80,6 +80,52 @@
     CHECK(world.workers.acknowledged_of(worker_id("w0")) == 1);
 }
 
+TEST_CASE(
+    "a failure that is listed again to a successor counts once", "[fleet]")
+{
+    fleet_world world;
+    int failures_left = 1;
+    world.workers.behaviour = [&](const fleet::task_ref&) {
+        return standin::task_behaviour{500ms, failures_left-- > 0};
+    };
+    world.submit("a", {tasks(1)});
+    while (world.store.newest(fleet::topics::progress, "a").empty())
+    {
+        world.run(1ms);
+    }
+    world.owner_vm()->kill(); // Stored, and the worker was not told yet.
+    CHECK(world.run_until("a", job_state::completed, 8s));
+    CHECK(world.starts_of("a").size() == 2);
+}
+
+TEST_CASE("an owner that cannot read the store denies no job", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.run(500ms);
+    world.owner_vm()->link.turned_away = true;
+    world.run(100ms);
+    world.submit("a", {tasks(1)});
+    std::optional<result<fleet::job_view>> seen;
+    world.owner()->look_up(
+        job_id("a"), [&](const result<fleet::job_view>& view) { seen = view; });
+    std::optional<result<bool>> cancelled;
+    world.owner()->cancel(
+        job_id("a"), [&](const result<bool>& known) { cancelled = known; });
+    world.run(1s);
+    REQUIRE(seen.has_value());
+    CHECK_FALSE(seen->has_value());
+    REQUIRE(cancelled.has_value());
+    CHECK_FALSE(cancelled->has_value());
+    world.owner_vm()->link.turned_away = false;
+    seen.reset();
+    world.owner()->look_up(
+        job_id("none"),
+        [&](const result<fleet::job_view>& view) { seen = view; });
+    world.run(1s);
+    REQUIRE((seen.has_value() && seen->has_value()));
+    CHECK_FALSE((*seen)->known);
+}
+
 TEST_CASE("a start whose answer is lost is one run", "[fleet]")
 {
     fleet_world world(1, 2);
@@ -163,7 +209,9 @@
     world.run(700ms);
     REQUIRE(world.workers.running() > 0);
     bool known = false;
-    world.owner()->cancel(job_id("a"), [&](bool found) { known = found; });
+    world.owner()->cancel(
+        job_id("a"),
+        [&](const result<bool>& found) { known = found.value_or(false); });
     world.run(100ms);
     CHECK(known);
     const std::size_t seen = world.workers.events().size();
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -202,8 +202,16 @@
 fleet::job_view fleet_world::view(const std::string& id) const
 {
     const auto found = owner();
-    return found && found->loaded() ? found->view(job_id(id))
-                                    : fleet::job_view{};
+    auto seen = std::make_shared<fleet::job_view>();
+    if (found && found->loaded())
+    {
+        // Answered at once where the job is known.
+        found->look_up(
+            job_id(id),
+            [seen](const result<fleet::job_view>& view)
+            { *seen = view.value_or(fleet::job_view{}); });
+    }
+    return *seen;
 }
 
 std::vector<standin::worker_event>
