--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -23,6 +23,18 @@
 constexpr const char* metrics_path = "/metrics";
 constexpr const char* state_path = "/state";
 
+/// A VM that can decide for hundreds of workers, by measured load: an owner of
+/// 350 workers uses 0.2 cores on a calm day and loads its state over its link.
+constexpr double strong_cores = 0.5;
+constexpr double strong_link_mbps = 100;
+
+std::uint32_t strength_of(const fleet::edge_settings& settings)
+{
+    const double part = std::min(
+        settings.cores / strong_cores, settings.link_mbps / strong_link_mbps);
+    return static_cast<std::uint32_t>(1'000 * std::min(1.0, part));
+}
+
 std::uint64_t draw_seed()
 {
     std::random_device device;
@@ -103,6 +115,7 @@
         {}, *adapter_.store, *adapter_.foreign, *clock_, *events_);
     fleet::leadership_settings leading;
     leading.vm = settings_.vm;
+    leading.strength = strength_of(settings_);
     leading.address =
         net::endpoint{settings_.address, settings_.peer_port}.str();
     leaders_ = fleet::leadership::create(
--- a/src/fleet/job_book.cpp
+++ b/src/fleet/job_book.cpp
@@ -75,6 +75,12 @@
     job_entry* job = find(id);
     if (job == nullptr)
     {
+        if (progress.state == job_state::completed ||
+            progress.state == job_state::failed ||
+            progress.state == job_state::cancelled)
+        {
+            add_ended(id, progress);
+        }
         return;
     }
     while (job->occurrences.size() < progress.steps.size() &&
@@ -120,6 +126,16 @@
     }
 }
 
+void job_book::add_ended(const job_id& id, const job_progress& progress)
+{
+    auto entry = std::make_unique<job_entry>();
+    entry->job.id = id;
+    entry->state = progress.state;
+    entry->shown = progress.state;
+    entry->ended = progress.ended;
+    jobs_.emplace(id, std::move(entry));
+}
+
 job_entry* job_book::find(const job_id& id)
 {
     const auto at = jobs_.find(id);
--- a/src/fleet/job_book.hpp
+++ b/src/fleet/job_book.hpp
@@ -115,7 +115,8 @@
     /// was known.
     job_entry* add(accepted_job job, bool inherited, instant now);
 
-    /// Takes over what is stored of a job's progress.
+    /// Takes over what is stored of a job's progress. The request of an ended
+    /// job need not be known any more.
     void restore(const job_id& id, const job_progress& progress);
 
     [[nodiscard]] job_entry* find(const job_id& id);
@@ -188,6 +189,7 @@
     [[nodiscard]] std::vector<job_id> forget_ended(wall_time before);
 
 private:
+    void add_ended(const job_id& id, const job_progress& progress);
     void open_occurrence(job_entry& job, instant now);
     void finish(job_entry& job, job_state state, wall_time wall);
     void close(job_entry& job);
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -1,5 +1,6 @@
 #include "fleet/leadership.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace acaciastile::fleet
@@ -141,13 +142,15 @@
         {
             own_token_ = record.offset + 1;
         }
-        set_owner(owner_view{told->vm, told->address, record.offset + 1});
+        set_owner(owner_view{
+            told->vm, told->address, record.offset + 1, told->strength});
         break;
     case ownership_record::kind::renewal:
         if (!owner_ || owner_->token < told->token)
         {
             // The claim itself has left the store's history.
-            set_owner(owner_view{told->vm, told->address, told->token});
+            set_owner(owner_view{
+                told->vm, told->address, told->token, told->strength});
         }
         break;
     case ownership_record::kind::release:
@@ -163,6 +166,7 @@
 {
     const bool was = is_owner();
     owner_ = std::move(owner);
+    owned_since_ = clock_.now();
     events_.emit(
         {event_number::owner_changed,
          {{"owner", owner_ ? owner_->vm : ""},
@@ -190,20 +194,34 @@
     }
 }
 
-void leadership::consider_claim()
+bool leadership::owner_is_weak() const
+{
+    return owner_ &&
+           settings_.strength >= settings_.much_stronger * owner_->strength &&
+           clock_.now() - owned_since_ >= settings_.settled;
+}
+
+bool leadership::may_claim() const
 {
-    if (is_owner() || retired_ || !read_ok_ || claim_planned_ ||
-        clock_.now() < no_claim_until_)
+    if (is_owner() || retired_ || !read_ok_ || clock_.now() < no_claim_until_)
     {
-        return;
+        return false;
     }
-    if (owner_ && clock_.now() - heard_ < settings_.takeover)
+    return !owner_ || clock_.now() - heard_ >= settings_.takeover ||
+           owner_is_weak();
+}
+
+void leadership::consider_claim()
+{
+    if (claim_planned_ || !may_claim())
     {
         return;
     }
     claim_planned_ = true;
+    constexpr std::uint32_t strong = 1'000;
+    const std::uint32_t missing = strong - std::min(strong, settings_.strength);
     clock_.after(
-        draw_jitter(),
+        draw_jitter() + settings_.handicap * missing / strong,
         [weak = weak_from_this()]
         {
             const auto self = weak.lock();
@@ -212,16 +230,26 @@
                 return;
             }
             self->claim_planned_ = false;
-            const bool silent =
-                !self->owner_ ||
-                self->clock_.now() - self->heard_ >= self->settings_.takeover;
-            if (silent && !self->is_owner() && !self->retired_)
+            if (self->may_claim())
             {
                 self->claim();
             }
         });
 }
 
+ownership_record
+leadership::record_of(ownership_record::kind what, std::uint64_t token) const
+{
+    ownership_record record;
+    record.what = what;
+    record.vm = settings_.vm.str();
+    record.address = settings_.address;
+    record.token = token;
+    record.nonce = nonce_;
+    record.strength = settings_.strength;
+    return record;
+}
+
 void leadership::append(ownership_record record, completion<log_offset> done)
 {
     append_options options;
@@ -254,11 +282,7 @@
           {"at", std::to_string(next_)}}});
     // The claim takes effect when it is read, also where its answer is lost.
     append(
-        {ownership_record::kind::claim,
-         settings_.vm.str(),
-         settings_.address,
-         0,
-         nonce_},
+        record_of(ownership_record::kind::claim, 0),
         [](const result<log_offset>&) {});
 }
 
@@ -294,11 +318,7 @@
     }
     const instant asked = clock_.now_with_suspends();
     append(
-        {ownership_record::kind::renewal,
-         settings_.vm.str(),
-         settings_.address,
-         token,
-         {}},
+        record_of(ownership_record::kind::renewal, token),
         [this, again, asked](const result<log_offset>& stored)
         {
             if (stored)
@@ -352,11 +372,7 @@
         return;
     }
     append(
-        {ownership_record::kind::release,
-         settings_.vm.str(),
-         settings_.address,
-         own_token_,
-         {}},
+        record_of(ownership_record::kind::release, own_token_),
         [done = std::move(done)](const result<log_offset>&) { done(); });
 }
 
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -21,7 +21,15 @@
     /// Silence of the owner, while the store answers, until another claims.
     milliseconds takeover{2'200};
     /// Spread of competing claims.
-    milliseconds jitter{120};
+    milliseconds jitter{60};
+    /// Of this VM: 1,000 is one that can decide for a large fleet.
+    std::uint32_t strength = 1'000;
+    /// Added before the claim of the weakest VM; in proportion for others.
+    milliseconds handicap{250};
+    /// A VM this many times as strong as the owner replaces it.
+    double much_stronger = 1.9;
+    /// At the least between two changes of the owner for that reason.
+    milliseconds settled{800};
     /// Wait of one read of the ownership topic.
     milliseconds read_wait{1'000};
     /// After a failed call to the store.
@@ -36,6 +44,7 @@
     std::string vm;
     std::string address;
     std::uint64_t token = 0; ///< Offset of the claim plus one.
+    std::uint32_t strength = 0;
 
     [[nodiscard]] bool operator==(const owner_view&) const = default;
 };
@@ -108,6 +117,10 @@
     void fold(const store_record& record);
     void set_owner(std::optional<owner_view> owner);
     void consider_claim();
+    [[nodiscard]] bool may_claim() const;
+    [[nodiscard]] bool owner_is_weak() const;
+    [[nodiscard]] ownership_record
+    record_of(ownership_record::kind what, std::uint64_t token) const;
     void claim();
     void renew();
     void append(ownership_record record, completion<log_offset> done);
@@ -123,8 +136,9 @@
     log_offset next_ = 0; ///< Read up to here.
     bool read_ok_ = false;
     std::optional<owner_view> owner_;
-    instant heard_{};     ///< Last word of the owner, or of a silent store.
-    instant confirmed_{}; ///< With suspends.
+    instant owned_since_{}; ///< By the present owner.
+    instant heard_{};       ///< Last word of the owner, or of a silent store.
+    instant confirmed_{};   ///< With suspends.
     std::uint64_t own_token_ = 0;
     std::string nonce_;
     bool appending_ = false;
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -183,6 +183,7 @@
                       {"workers",
                        std::to_string(self.workers_.all().size())}}});
                 self.tail_jobs();
+                self.later(self.settings_.clean_up, &fleet_owner::drop_ended);
                 self.later(
                     self.settings_.registry_poll, &fleet_owner::poll_registry);
                 self.wake();
@@ -382,7 +383,11 @@
     round_planned_ = true;
     const milliseconds since = ports_.clock.now() - last_round_;
     later(
-        std::max(milliseconds::zero(), settings_.round - since),
+        std::max(
+            milliseconds::zero(),
+            std::max(
+                settings_.round, round_cost_ * settings_.rest_after_round) -
+                since),
         &fleet_owner::run_round);
 }
 
@@ -410,6 +415,8 @@
     turn_board();
     hold_workers();
     flush();
+    last_round_ = ports_.clock.now();
+    round_cost_ = last_round_ - now;
     if (idle_due_ <= now)
     {
         idle_due_ = now + settings_.idle_round;
@@ -1310,6 +1317,10 @@
         if (job_entry* job = jobs_.find(id))
         {
             job->shown = state;
+            if (job->is_final())
+            {
+                ended_jobs_.push_back(id);
+            }
         }
     }
     for (const flush_batch::taken_ends& each : batch->ends)
@@ -1327,6 +1338,40 @@
     }
 }
 
+void fleet_owner::drop_ended()
+{
+    std::vector<store_record> dropped;
+    for (const job_id& id : ended_jobs_)
+    {
+        dropped.push_back({0, id.str(), {}});
+    }
+    ended_jobs_.clear();
+    if (!dropped.empty())
+    {
+        // Where this fails, the next owner loads a few requests more.
+        ports_.store.append(
+            topics::jobs, dropped, {}, [](const result<log_offset>&) {});
+    }
+    sweep();
+    later(settings_.clean_up, &fleet_owner::drop_ended);
+}
+
+void fleet_owner::sweep()
+{
+    std::vector<store_record> dropped;
+    for (const job_id& id :
+         jobs_.forget_ended(ports_.clock.wall() - settings_.status_kept))
+    {
+        dropped.push_back({0, id.str(), {}});
+    }
+    if (!dropped.empty())
+    {
+        // A record that stays is dropped again by the next owner.
+        ports_.store.append(
+            topics::progress, dropped, {}, [](const result<log_offset>&) {});
+    }
+}
+
 void fleet_owner::hand_over(std::function<void()> done)
 {
     handing_over_ = true;
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -32,6 +32,9 @@
     advice_board_settings advice;
     /// Between two rounds of decisions at the least.
     milliseconds round{5};
+    /// A round that took long is followed by this many times its cost without
+    /// another, so that deciding leaves time for everything else.
+    int rest_after_round = 3;
     /// Between two rounds while nothing happens but jobs are open.
     milliseconds idle_round{250};
     /// Between two stores of progress at the least; ends count as taken note
@@ -62,6 +65,8 @@
     /// for this long leaves the fleet to one of them.
     milliseconds alone_after{2'000};
     milliseconds status_kept{120'000};
+    /// Between two clean-ups of the store's topics.
+    milliseconds clean_up{2'000};
     std::size_t request_bytes = 2U << 20U; ///< Of one append.
 };
 
@@ -210,6 +215,9 @@
     void flush();
     void send_batch(const std::shared_ptr<flush_batch>& batch);
     void on_stored(const std::shared_ptr<flush_batch>& batch);
+    /// Drops the requests of ended jobs from the store; their state stays.
+    void drop_ended();
+    /// Forgets jobs whose state need not be told any more.
     void sweep();
 
     template<class Work>
@@ -242,10 +250,10 @@
 
     log_offset jobs_next_ = 0;
     log_offset registry_next_ = 0;
-    std::vector<store_record> stored_progress_;
 
     bool round_planned_ = false;
     instant last_round_{};
+    milliseconds round_cost_{0};
     instant idle_due_{};
     instant visited_ = instant::max(); ///< By another VM; max: never.
 
@@ -254,6 +262,7 @@
     instant next_flush_{};
     std::vector<std::function<void()>> after_flush_;
     bool store_lost_ = false;
+    std::vector<job_id> ended_jobs_; ///< Whose requests are still stored.
 };
 
 } // namespace acaciastile::fleet
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -195,6 +195,18 @@
     }
 }
 
+bool planner::below_worker_limit(
+    const candidate& step, const worker_entry& worker)
+{
+    if (step.spec->most_per_worker == 0)
+    {
+        return true;
+    }
+    const auto at = step.on_worker.find(worker.about.id);
+    return at == step.on_worker.end() ||
+           at->second < step.spec->most_per_worker;
+}
+
 bool planner::may_run(
     const round& now,
     const candidate& step,
@@ -212,14 +224,9 @@
     {
         return false;
     }
-    if (step.spec->most_per_worker > 0)
+    if (!below_worker_limit(step, worker))
     {
-        const auto at = step.on_worker.find(worker.about.id);
-        if (at != step.on_worker.end() &&
-            at->second >= step.spec->most_per_worker)
-        {
-            return false;
-        }
+        return false;
     }
     if (!step.advised() || !need_permit)
     {
@@ -232,17 +239,53 @@
            at->second.incarnation == worker.about.incarnation;
 }
 
-void planner::place_tasks(round& now, candidate& step)
+std::vector<worker_entry*>
+planner::permitted_workers(round& now, const candidate& step) const
 {
+    std::vector<worker_entry*> found;
+    if (step.advised() && step.step->permits.allowed.empty())
+    {
+        return found;
+    }
     const auto usable = now.usable.find(step.queue->service);
-    const account_settings* account = now.config.find(step.job->job.account);
     if (usable == now.usable.end())
     {
-        return;
+        return found;
     }
+    for (worker_entry* worker : usable->second)
+    {
+        if (step.room.fits_in(worker->room()) &&
+            may_run(now, step, *worker, true))
+        {
+            found.push_back(worker);
+        }
+    }
+    return found;
+}
+
+double planner::score(
+    const candidate& step, const task_entry& task, const worker_entry& worker)
+{
+    double score = looseness(worker.room() - step.room, worker.about.capacity);
+    if (!step.spec->data_rack.empty() &&
+        step.spec->data_rack != worker.about.rack.str())
+    {
+        score += far_from_data;
+    }
+    if (task.failed_last && task.worker == worker.about.id)
+    {
+        score += failed_there;
+    }
+    return score;
+}
+
+void planner::place_tasks(round& now, candidate& step)
+{
+    const account_settings* account = now.config.find(step.job->job.account);
+    const std::vector<worker_entry*> choice = permitted_workers(now, step);
     for (std::uint32_t index = 0; index < step.step->tasks.size(); ++index)
     {
-        task_entry& task = step.step->tasks[index];
+        const task_entry& task = step.step->tasks[index];
         if (task.state != task_entry::phase::waiting)
         {
             continue;
@@ -256,26 +299,18 @@
         }
         worker_entry* best = nullptr;
         double best_score = std::numeric_limits<double>::max();
-        for (worker_entry* worker : usable->second)
+        for (worker_entry* worker : choice)
         {
             if (!step.room.fits_in(worker->room()) ||
-                worker->runs.contains({step.step->id, index}) ||
-                !may_run(now, step, *worker, true))
+                !below_worker_limit(step, *worker) ||
+                worker->runs.contains({step.step->id, index}))
             {
                 continue;
             }
-            double score =
-                looseness(worker->room() - step.room, worker->about.capacity);
-            score += !step.spec->data_rack.empty() &&
-                             step.spec->data_rack != worker->about.rack.str()
-                         ? far_from_data
-                         : 0.0;
-            score += task.failed_last && task.worker == worker->about.id
-                         ? failed_there
-                         : 0.0;
-            if (score < best_score)
+            const double here = score(step, task, *worker);
+            if (here < best_score)
             {
-                best_score = score;
+                best_score = here;
                 best = worker;
             }
         }
@@ -501,11 +536,14 @@
     {
         for (worker_entry* worker : now.usable[step.queue->service])
         {
+            if (places >= wanted || named.size() >= settings_.most_asked)
+            {
+                return;
+            }
             const worker_id& id = worker->about.id;
-            const bool allowed = permits.allowed.contains(id);
-            if (places >= wanted || named.size() >= settings_.most_asked ||
-                allowed != known || permits.denied.contains(id) ||
-                !step.room.fits_in(worker->room()) ||
+            if (!step.room.fits_in(worker->room()) ||
+                permits.allowed.contains(id) != known ||
+                permits.denied.contains(id) ||
                 !may_run(now, step, *worker, false))
             {
                 continue;
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -84,6 +84,16 @@
 
     void place_step(round& now, candidate& step);
     void place_tasks(round& now, candidate& step);
+    /// Workers with room for a task of the step that may run it now.
+    [[nodiscard]] std::vector<worker_entry*>
+    permitted_workers(round& now, const candidate& step) const;
+    /// Lower is better: a tight fit, near the data, not where it failed last.
+    [[nodiscard]] static double score(
+        const candidate& step,
+        const task_entry& task,
+        const worker_entry& worker);
+    [[nodiscard]] static bool
+    below_worker_limit(const candidate& step, const worker_entry& worker);
     bool place_gang(round& now, candidate& step);
     [[nodiscard]] std::vector<worker_entry*> fit_gang(
         round& now,
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -269,7 +269,8 @@
          record.vm,
          record.address,
          record.token,
-         record.nonce}));
+         record.nonce,
+         record.strength}));
 }
 
 result<ownership_record> decode_ownership_record(std::string_view text)
@@ -285,6 +286,7 @@
             record.address = value.at(2).get<std::string>();
             record.token = value.at(3).get<std::uint64_t>();
             record.nonce = value.at(4).get<std::string>();
+            record.strength = value.at(5).get<std::uint32_t>();
             return record;
         });
 }
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -49,6 +49,8 @@
     std::string address;     ///< Of the owner's interface for its peers.
     std::uint64_t token = 0; ///< Of renewals and releases.
     std::string nonce;       ///< Tells a sender's own claims apart.
+    /// Of the sender's VM: 1,000 is one that can decide for a large fleet.
+    std::uint32_t strength = 0;
 
     [[nodiscard]] bool operator==(const ownership_record&) const = default;
 };
--- a/src/fleet/settings.hpp
+++ b/src/fleet/settings.hpp
@@ -22,6 +22,8 @@
     net::endpoint store;
     net::endpoint policy; ///< Port zero: there is no policy service.
     std::size_t memory_limit_mib = 256;
+    double cores = 0.25;    ///< Share of a processor core.
+    double link_mbps = 100; ///< Of this VM's own link.
 
     milliseconds heartbeat{1'500};    ///< Of workers in the registry.
     milliseconds grace{6'000};        ///< From the stop signal to the kill.
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -289,3 +289,55 @@
     REQUIRE(world.owner_vm() != nullptr);
     CHECK(world.owner_vm() != before);
 }
+
+TEST_CASE(
+    "what ended is not loaded again, and its state is still told", "[fleet]")
+{
+    fleet_world world;
+    world.submit("a", {tasks(2)});
+    REQUIRE(world.run_until("a", job_state::completed, 6s));
+    world.run(3s);
+    CHECK(world.store.newest(fleet::topics::jobs, "a").empty());
+    world.owner_vm()->kill();
+    CHECK(world.run_until("a", job_state::completed, 6s));
+    world.run(2s);
+    CHECK(world.starts_of("a").size() == 1);
+    // The client sends it once more.
+    world.submit("a", {tasks(2)});
+    world.run(2s);
+    CHECK(world.view("a").state == job_state::completed);
+    CHECK(world.starts_of("a").size() == 1);
+}
+
+TEST_CASE("the state of a job is forgotten after its time", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.settings.status_kept = 10s;
+    world.owner_vm();
+    world.submit("a", {tasks(1)});
+    REQUIRE(world.run_until("a", job_state::completed, 6s));
+    world.run(5s);
+    CHECK(world.view("a").known);
+}
+
+TEST_CASE("a much stronger VM replaces a weak owner once", "[leadership]")
+{
+    fleet_world world(0, 1);
+    for (const std::uint32_t strength : {200U, 1'000U, 900U})
+    {
+        world.vms.push_back(std::make_unique<fleet_world::vm>(
+            world, "vm" + std::to_string(world.vms.size()), 7));
+        world.vms.back()->strength = strength;
+    }
+    world.vms[0]->start();
+    world.run(1s);
+    REQUIRE(world.owner_vm() == world.vms[0].get());
+    world.vms[1]->start();
+    world.vms[2]->start();
+    world.run(4s);
+    REQUIRE(world.owner_vm() != nullptr);
+    CHECK(world.owner_vm() != world.vms[0].get());
+    const std::uint64_t token = world.owner()->token();
+    world.run(6s);
+    CHECK(world.owner()->token() == token);
+}
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -316,6 +316,7 @@
     fleet::leadership_settings leading;
     leading.vm = instance_id(name);
     leading.address = name + ":1";
+    leading.strength = strength;
     leaders = fleet::leadership::create(
         leading, link, world_.clock, world_.events, *this, seed_++);
     leaders->start();
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -113,6 +113,7 @@
     std::shared_ptr<fleet::leadership> leaders;
     std::shared_ptr<fleet::fleet_owner> owner;
     std::string name;
+    std::uint32_t strength = 1'000;
 
 private:
     void on_gained(std::uint64_t token) override;
