A refused second try says nothing of the first

A start without an answer is sent again; the worker answered that second try with a refusal, since the first had run and ended; the task was started anew. Ruled out: run numbers, fencing (one owner all the while). Change: after a try without an answer, and for a superseded run, only the worker's lists settle whether it ran.

--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -513,6 +513,13 @@
         }
         if (answer->refusal)
         {
+            if (*answer->refusal != start_refusal::fenced &&
+                (again || *answer->refusal == start_refusal::superseded))
+            {
+                // The first try may have run, have ended or come later.
+                leave_open(*worker, run, now);
+                return;
+            }
             refuse_start(decision, *worker, *answer->refusal);
             wake();
             return;
@@ -549,13 +556,18 @@
         send_start(decision, true);
         return;
     }
+    worker->reachable = false;
+    leave_open(*worker, run, now);
+}
+
+void fleet_owner::leave_open(worker_entry& worker, run_entry& run, instant now)
+{
     if (run.state == run_entry::phase::starting)
     {
         run.state = run_entry::phase::uncertain;
         run.confirmed = now;
     }
-    worker->reachable = false;
-    worker->next_hold = now;
+    worker.next_hold = now;
     wake();
 }
 
@@ -619,7 +631,7 @@
         return;
     case start_refusal::superseded:
     case start_refusal::too_late:
-        return;
+        return; // The next call tells how the worker's clock stands.
     }
 }
 
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -171,6 +171,8 @@
         bool again,
         instant asked,
         const result<start_answer>& answer);
+    /// Whether the run ever was is for the worker's lists to tell.
+    void leave_open(worker_entry& worker, run_entry& run, instant now);
     void refuse_start(
         const start_decision& decision,
         worker_entry& worker,
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -400,7 +400,7 @@
         return;
     }
     auto told = std::make_shared<bool>(false);
-    auto tell = [this, told, done, there = lives_.at(of.about.id)]
+    auto tell = [this, told, done, until, there = lives_.at(of.about.id)]
     {
         if (!*told && !there->over && !there->wrong.silent)
         {
@@ -409,9 +409,16 @@
         }
         else if (!*told)
         {
-            *told = true;
-            done(refuse(
-                refusal_code::unreachable, verdict::may_have_run, "timeout"));
+            *told = true; // The caller gives up after its own time.
+            clock_.after(
+                std::max(milliseconds::zero(), until - clock_.now()) +
+                    options_.answer_timeout,
+                [done] {
+                    done(refuse(
+                        refusal_code::unreachable,
+                        verdict::may_have_run,
+                        "timeout"));
+                });
         }
     };
     of.waiting.emplace_back(tell);
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -341,3 +341,46 @@
     world.run(6s);
     CHECK(world.owner()->token() == token);
 }
+
+TEST_CASE(
+    "a run that ended before its start was sent again is not repeated",
+    "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.run(500ms);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{100ms, false};
+    };
+    auto& faults = world.workers.faults_of(worker_id("w0"));
+    faults.losing_answers = true;
+    world.submit("a", {tasks(1)});
+    while (world.workers.events().empty())
+    {
+        world.run(1ms);
+    }
+    faults.losing_answers = false;
+    faults.silent = true; // Its lists bring no answer either.
+    world.run(350ms);
+    faults.silent = false;
+    CHECK(world.run_until("a", job_state::completed, 8s));
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises() == std::vector<std::string>());
+}
+
+TEST_CASE("a refusal of the second try says nothing of the first", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.run(500ms);
+    auto& faults = world.workers.faults_of(worker_id("w0"));
+    faults.late = 3s;
+    world.submit("a", {tasks(1)});
+    world.run(300ms);
+    faults.late = 0s;
+    faults.unhealthy = true;
+    world.add_worker("w1");
+    world.run(500ms);
+    CHECK(world.run_until("a", job_state::completed, 8s));
+    faults.unhealthy = false;
+    world.run(6s);
+    CHECK(world.broken_promises() == std::vector<std::string>());
+}
