Stopped processes end at once; an owner's end answers its callers; a cut-off owner goes sooner

Change: the process ends without the library's clean-up; a completion that is dropped is called with an error; calls for work tell when renewals fail, and a VM that the store serves claims then.

--- a/src/cli/commands/edge_command.cpp
+++ b/src/cli/commands/edge_command.cpp
@@ -44,7 +44,9 @@
         return report(process.error());
     }
     (*process)->run();
-    return exit_status::done;
+    // Nothing is kept between starts. The logging library's end waits for its
+    // threads, which can take longer than the grace period leaves.
+    std::_Exit(static_cast<int>(exit_status::done));
 }
 
 } // namespace acaciastile::commands
--- a/src/edge/advice_worker.cpp
+++ b/src/edge/advice_worker.cpp
@@ -74,6 +74,10 @@
             {
                 return;
             }
+            if (reply && reply->renewal_failing)
+            {
+                self->owner_.note_renewal_failing();
+            }
             if (reply && reply->question && self->policy_ != nullptr)
             {
                 self->ask(*reply->question);
--- a/src/edge/owner_link.cpp
+++ b/src/edge/owner_link.cpp
@@ -43,6 +43,14 @@
            age_of(answered_, clock_.now()) <= reach_memory;
 }
 
+void owner_link::note_renewal_failing()
+{
+    if (!local_ && leaders_.owner())
+    {
+        leaders_.suspect(leaders_.owner()->token);
+    }
+}
+
 void owner_link::set_local(std::shared_ptr<fleet::fleet_owner> owner)
 {
     local_ = std::move(owner);
--- a/src/edge/owner_link.hpp
+++ b/src/edge/owner_link.hpp
@@ -40,6 +40,12 @@
     /// Hands a job over to be stored. Errors besides: `log_unavailable`; the
     /// verdict says whether it may be stored.
     void accept(const accept_request& request, fleet::completion<void> done);
+    /// The store turns the owner away; another VM may do better.
+    void note_renewal_failing();
+    [[nodiscard]] bool is_renewal_failing() const
+    {
+        return leaders_.is_renewal_failing();
+    }
     /// True where another VM owns the fleet and has answered lately, so that
     /// a call to it is worth its wait.
     [[nodiscard]] bool is_within_reach() const;
--- a/src/edge/peer_api.cpp
+++ b/src/edge/peer_api.cpp
@@ -131,6 +131,7 @@
         {
             work_reply answer;
             answer.question = std::move(question);
+            answer.renewal_failing = owner_.is_renewal_failing();
             if (const fleet::configuration* config = config_.current())
             {
                 answer.config_version = config->version();
--- a/src/edge/peer_messages.cpp
+++ b/src/edge/peer_messages.cpp
@@ -138,7 +138,8 @@
         {std::move(question),
          reply.config_version,
          reply.config_age.count(),
-         reply.config}));
+         reply.config,
+         reply.renewal_failing}));
 }
 
 result<work_reply> decode_work_reply(std::string_view text)
@@ -165,6 +166,7 @@
             reply.config_age =
                 milliseconds(value.at(2).get<milliseconds::rep>());
             reply.config = value.at(3).get<std::string>();
+            reply.renewal_failing = value.at(4).get<bool>();
             return reply;
         });
 }
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -179,6 +179,7 @@
     }
     if (!was && is_owner())
     {
+        renewal_failed_ = false;
         confirmed_ = clock_.now_with_suspends();
         listener_.on_gained(own_token_);
         renew();
@@ -321,6 +322,8 @@
         record_of(ownership_record::kind::renewal, token),
         [this, again, asked](const result<log_offset>& stored)
         {
+            renewal_failed_ =
+                !stored && stored.error().code == refusal_code::log_unavailable;
             if (stored)
             {
                 confirmed_ = std::max(confirmed_, asked);
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -87,7 +87,14 @@
     /// of the VM included.
     [[nodiscard]] milliseconds since_confirmed() const;
 
-    /// The owner refused a connection or says that it is none.
+    /// True while the store does not take this owner's renewals.
+    [[nodiscard]] bool is_renewal_failing() const noexcept
+    {
+        return renewal_failed_;
+    }
+
+    /// The owner refused a connection, says that it is none, or is kept from
+    /// renewing; this VM claims where the store serves it.
     void suspect(std::uint64_t token);
 
     /// Gives ownership up; `done` is called when that is stored or failed.
@@ -143,6 +150,7 @@
     std::string nonce_;
     bool appending_ = false;
     bool claim_planned_ = false;
+    bool renewal_failed_ = false;
     bool retired_ = false;
     instant no_claim_until_{};
     bool store_lost_ = false;
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -1,5 +1,7 @@
 #include "fleet/owner.hpp"
 
+#include "fleet/answer_always.hpp"
+
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <charconv>
@@ -24,6 +26,16 @@
         task.index);
 }
 
+/// What callers hear when the owner ends before it could answer.
+error owner_gone()
+{
+    return {
+        refusal_code::no_owner,
+        verdict::may_have_run,
+        "the fleet is given to another VM",
+        {}};
+}
+
 std::string text_of(milliseconds time)
 {
     return std::to_string(time.count());
@@ -1100,6 +1112,7 @@
         done(job_view{true, job->shown});
         return;
     }
+    done = answer_always(std::move(done), owner_gone());
     read_jobs_now(
         [this, id, done = std::move(done)](const result<void>& read)
         {
@@ -1120,6 +1133,7 @@
 
 void fleet_owner::cancel(const job_id& id, completion<bool> done)
 {
+    done = answer_always(std::move(done), owner_gone());
     if (job_entry* job = jobs_.find(id); job != nullptr && loaded_)
     {
         cancel_known(*job, std::move(done));
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -384,3 +384,47 @@
     world.run(6s);
     CHECK(world.broken_promises() == std::vector<std::string>());
 }
+
+TEST_CASE("an owner that ends answers who waits for it", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.submit("a", {tasks(1)});
+    world.run(600ms);
+    std::vector<result<bool>> cancelled;
+    std::vector<result<fleet::job_view>> seen;
+    world.owner()->cancel(
+        job_id("a"),
+        [&](const result<bool>& known) { cancelled.push_back(known); });
+    world.owner()->look_up(
+        job_id("b"),
+        [&](const result<fleet::job_view>& view) { seen.push_back(view); });
+    world.owner_vm()->kill();
+    world.run(3s);
+    REQUIRE(cancelled.size() == 1);
+    CHECK(cancelled.front().error().effect == verdict::may_have_run);
+    REQUIRE(seen.size() == 1);
+    CHECK_FALSE(seen.front().has_value());
+}
+
+TEST_CASE(
+    "an owner that the store turns away is replaced when others hear",
+    "[leadership]")
+{
+    fleet_world world;
+    world.run(1s);
+    fleet_world::vm* before = world.owner_vm();
+    REQUIRE(before != nullptr);
+    const std::uint64_t token = world.owner()->token();
+    before->link.turned_away = true;
+    world.run(900ms);
+    CHECK(before->leaders->is_renewal_failing());
+    for (const auto& each : world.vms)
+    {
+        each->leaders->suspect(token); // As calls for work tell them.
+    }
+    world.run(400ms);
+    const auto& view = world.vms.back()->leaders->owner();
+    REQUIRE(view.has_value());
+    CHECK(view->token > token);
+    CHECK(view->vm != before->name);
+}
