A new owner that has not read its claim is left alone; own renewals move the end on

Renewals conflicted with the owner's own last one until that was read. Change: that answer counts 0.25 s after the claim was read; an answered renewal moves the known end on.

--- a/src/edge/advice_worker.cpp
+++ b/src/edge/advice_worker.cpp
@@ -74,9 +74,9 @@
             {
                 return;
             }
-            if (reply && reply->renewal_failing)
+            if (reply && reply->failing_token != 0)
             {
-                self->owner_.note_renewal_failing();
+                self->owner_.note_renewal_failing(reply->failing_token);
             }
             if (reply && reply->question && self->policy_ != nullptr)
             {
--- a/src/edge/owner_link.cpp
+++ b/src/edge/owner_link.cpp
@@ -43,12 +43,9 @@
            age_of(answered_, clock_.now()) <= reach_memory;
 }
 
-void owner_link::note_renewal_failing()
+void owner_link::note_renewal_failing(std::uint64_t token)
 {
-    if (!local_ && leaders_.owner())
-    {
-        leaders_.suspect(leaders_.owner()->token);
-    }
+    leaders_.suspect(token, fleet::leadership::doubt::cut_off);
 }
 
 void owner_link::set_local(std::shared_ptr<fleet::fleet_owner> owner)
@@ -117,11 +114,14 @@
 void owner_link::note_answer(
     std::uint64_t token, const net::http_outcome& outcome)
 {
-    const bool refused_connection =
-        outcome.effect == verdict::not_run && outcome.failure != "timeout";
-    if (outcome.status() == 409 || refused_connection)
+    using doubt = fleet::leadership::doubt;
+    if (outcome.status() == 409)
+    {
+        leaders_.suspect(token, doubt::denies);
+    }
+    else if (outcome.effect == verdict::not_run && outcome.failure != "timeout")
     {
-        leaders_.suspect(token);
+        leaders_.suspect(token, doubt::unreachable);
     }
 }
 
--- a/src/edge/owner_link.hpp
+++ b/src/edge/owner_link.hpp
@@ -41,10 +41,11 @@
     /// verdict says whether it may be stored.
     void accept(const accept_request& request, fleet::completion<void> done);
     /// The store turns the owner away; another VM may do better.
-    void note_renewal_failing();
-    [[nodiscard]] bool is_renewal_failing() const
+    void note_renewal_failing(std::uint64_t token);
+    /// This VM's token where the store turns it away as the owner, else zero.
+    [[nodiscard]] std::uint64_t failing_token() const
     {
-        return leaders_.is_renewal_failing();
+        return local_ && leaders_.is_renewal_failing() ? local_->token() : 0;
     }
     /// True where another VM owns the fleet and has answered lately, so that
     /// a call to it is worth its wait.
--- a/src/edge/peer_api.cpp
+++ b/src/edge/peer_api.cpp
@@ -131,7 +131,7 @@
         {
             work_reply answer;
             answer.question = std::move(question);
-            answer.renewal_failing = owner_.is_renewal_failing();
+            answer.failing_token = owner_.failing_token();
             if (const fleet::configuration* config = config_.current())
             {
                 answer.config_version = config->version();
--- a/src/edge/peer_messages.cpp
+++ b/src/edge/peer_messages.cpp
@@ -139,7 +139,7 @@
          reply.config_version,
          reply.config_age.count(),
          reply.config,
-         reply.renewal_failing}));
+         reply.failing_token}));
 }
 
 result<work_reply> decode_work_reply(std::string_view text)
@@ -166,7 +166,7 @@
             reply.config_age =
                 milliseconds(value.at(2).get<milliseconds::rep>());
             reply.config = value.at(3).get<std::string>();
-            reply.renewal_failing = value.at(4).get<bool>();
+            reply.failing_token = value.at(4).get<std::uint64_t>();
             return reply;
         });
 }
--- a/src/edge/peer_messages.hpp
+++ b/src/edge/peer_messages.hpp
@@ -45,9 +45,10 @@
 {
     std::optional<fleet::ask_decision> question;
     std::uint64_t config_version = 0;
-    milliseconds config_age{0};   ///< Since the store confirmed it.
-    std::string config;           ///< As stored; empty where the VM has it.
-    bool renewal_failing = false; ///< The store turns the owner away.
+    milliseconds config_age{0}; ///< Since the store confirmed it.
+    std::string config;         ///< As stored; empty where the VM has it.
+    /// Token of the owner where the store turns it away; zero: it does not.
+    std::uint64_t failing_token = 0;
 };
 
 /// A job that another VM hands over to be stored.
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -118,9 +118,12 @@
     }
     for (const store_record& record : page.records)
     {
-        fold(record);
+        if (record.offset >= next_)
+        {
+            fold(record);
+        }
     }
-    next_ = page.end;
+    next_ = std::max(next_, page.end);
     consider_claim();
 }
 
@@ -186,13 +189,19 @@
     }
 }
 
-void leadership::suspect(std::uint64_t token)
+void leadership::suspect(std::uint64_t token, doubt why)
 {
-    if (owner_ && owner_->token == token && !is_owner())
+    if (!owner_ || owner_->token != token || is_owner())
     {
-        heard_ = clock_.now() - settings_.takeover;
-        consider_claim();
+        return;
     }
+    if (why == doubt::denies &&
+        clock_.now() - owned_since_ < settings_.claim_travel)
+    {
+        return;
+    }
+    heard_ = clock_.now() - settings_.takeover;
+    consider_claim();
 }
 
 bool leadership::owner_is_weak() const
@@ -324,8 +333,17 @@
         {
             renewal_failed_ =
                 !stored && stored.error().code == refusal_code::log_unavailable;
+            if (!stored)
+            {
+                events_.emit(
+                    {event_number::renewal_failed,
+                     {{"reason", stored.error().message},
+                      {"at", std::to_string(next_)}}});
+            }
             if (stored)
             {
+                // The topic ended here, so nothing of others came before.
+                next_ = std::max(next_, *stored + 1);
                 confirmed_ = std::max(confirmed_, asked);
                 again(settings_.renewal);
                 return;
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -20,6 +20,9 @@
     milliseconds renewal{600};
     /// Silence of the owner, while the store answers, until another claims.
     milliseconds takeover{2'200};
+    /// An owner that denies being one may not have read its own claim yet, for
+    /// this long after this VM has.
+    milliseconds claim_travel{250};
     /// Spread of competing claims.
     milliseconds jitter{60};
     /// Of this VM: 1,000 is one that can decide for a large fleet.
@@ -93,9 +96,16 @@
         return renewal_failed_;
     }
 
-    /// The owner refused a connection, says that it is none, or is kept from
-    /// renewing; this VM claims where the store serves it.
-    void suspect(std::uint64_t token);
+    /// Why an owner is held for lost before its silence tells.
+    enum class doubt
+    {
+        unreachable, ///< Refused a connection: its process is gone.
+        denies,      ///< Says that it is not the owner.
+        cut_off      ///< The store does not take its renewals.
+    };
+    /// Another VM owns the fleet no more, by all appearances; this VM claims
+    /// where the store serves it.
+    void suspect(std::uint64_t token, doubt why);
 
     /// Gives ownership up; `done` is called when that is stored or failed.
     void release(std::function<void()> done);
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -420,7 +420,8 @@
     CHECK(before->leaders->is_renewal_failing());
     for (const auto& each : world.vms)
     {
-        each->leaders->suspect(token); // As calls for work tell them.
+        // As calls for work tell them.
+        each->leaders->suspect(token, fleet::leadership::doubt::cut_off);
     }
     world.run(400ms);
     const auto& view = world.vms.back()->leaders->owner();
@@ -428,3 +429,32 @@
     CHECK(view->token > token);
     CHECK(view->vm != before->name);
 }
+
+TEST_CASE(
+    "a new owner that does not know its claim yet is left alone",
+    "[leadership]")
+{
+    fleet_world world;
+    world.run(1s);
+    world.owner_vm()->kill();
+    fleet_world::vm* heard = nullptr;
+    while (heard == nullptr)
+    {
+        world.run(1ms);
+        for (const auto& each : world.vms)
+        {
+            if (each->leaders && each->leaders->owner() &&
+                each->leaders->owner()->token > 1 && !each->leaders->is_owner())
+            {
+                heard = each.get();
+            }
+        }
+    }
+    const std::uint64_t token = heard->leaders->owner()->token;
+    heard->leaders->suspect(token, fleet::leadership::doubt::denies);
+    world.run(1s);
+    CHECK(heard->leaders->owner()->token == token);
+    heard->leaders->suspect(token, fleet::leadership::doubt::denies);
+    world.run(400ms);
+    CHECK(heard->leaders->owner()->token > token);
+}
