Work that can still be in time goes first; accounts over their rate go last

Ruled out: room lost to gangs (held workers were few in that log). Change: run times are learnt by queue; each job is ranked by whether it can end within its objective, late, or too late; jobs over their account's rate come after those that are owed; only gangs in time hold workers.

--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -298,6 +298,7 @@
 {
     const instant begun = clock_->now();
     auto kept = std::make_shared<fleet::accepted_job>(std::move(job));
+    kept->accepted = clock_->wall();
     auto tell = [this, begun, kept, done = std::move(done)](
                     fleet::intake_outcome outcome, const std::string& reason)
     {
--- a/src/fleet/configuration.hpp
+++ b/src/fleet/configuration.hpp
@@ -44,6 +44,8 @@
     /// The queue's settings at acceptance; in force where the configuration
     /// no longer has the queue.
     queue_settings terms;
+    /// By the clock of the VM that accepted it; only the order of work uses it.
+    wall_time accepted{};
 };
 
 struct account_settings
--- a/src/fleet/job_book.cpp
+++ b/src/fleet/job_book.cpp
@@ -43,6 +43,7 @@
         steps[at].id = {job.job.id, number, at};
         steps[at].tasks.resize(job.job.request.steps[at].count);
         steps[at].waiting = job.job.request.steps[at].count;
+        steps[at].opened = now;
         steps[at].ready_since = now;
     }
 }
--- a/src/fleet/job_book.hpp
+++ b/src/fleet/job_book.hpp
@@ -56,6 +56,7 @@
     std::uint32_t active = 0;
     std::uint32_t done = 0;
     std::vector<run_number> failed_gang_runs;
+    instant opened{};      ///< When its occurrence was due.
     instant ready_since{}; ///< When its last predecessor was done.
     permit_entry permits;
 };
@@ -71,6 +72,7 @@
     /// Accepted before this owner took over: a predecessor may have started
     /// tasks of it on workers that were not heard yet.
     bool inherited = false;
+    bool excess = false;  ///< Its account was over its rate.
     bool changed = false; ///< Has progress that is not stored.
     wall_time ended{};
     run_number next_run = 1;
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -160,6 +160,7 @@
     /// before this call is known now.
     void read_jobs_now(std::function<void(const result<void>&)> done);
     void take_jobs(const store_page& page);
+    void add_job(accepted_job job, bool inherited);
     void cancel_known(job_entry& job, completion<bool> done);
     [[nodiscard]] bool inherited_may_start();
 
@@ -244,6 +245,7 @@
     worker_table workers_;
     planner planner_;
     advice_board board_;
+    account_rates rates_;
 
     bool loaded_ = false;
     bool ended_ = false;
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -138,13 +138,32 @@
              {{"topic", topics::jobs}, {"job", record.key}}});
         return;
     }
-    jobs_.add(*std::move(job), inherited, ports_.clock.now());
+    add_job(*std::move(job), inherited);
+}
+
+void fleet_owner::add_job(accepted_job job, bool inherited)
+{
+    const instant now = ports_.clock.now();
+    // Clocks of VMs differ and may jump; an age that cannot be is none.
+    const milliseconds age = ports_.clock.wall() - job.accepted;
+    const bool plausible =
+        age > milliseconds::zero() && age < settings_.status_kept;
+    job_entry* added = jobs_.add(
+        std::move(job), inherited, inherited && plausible ? now - age : now);
+    if (added == nullptr || inherited)
+    {
+        return;
+    }
+    const account_settings* account = ports_.config().find(added->job.account);
+    added->excess = account != nullptr &&
+                    !rates_.take(added->job.account, account->weight, now);
 }
 
 void fleet_owner::accept(accepted_job job)
 {
-    if (loaded_ && jobs_.add(std::move(job), false, ports_.clock.now()))
+    if (loaded_ && jobs_.find(job.id) == nullptr)
     {
+        add_job(std::move(job), false);
         wake();
     }
 }
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -236,6 +236,16 @@
 {
     constexpr std::array<const char*, 6> names{
         "done", "failed", "stopped", "lapsed", "gang_broken", "gang_alone"};
+    const auto started = worker.runs.find(task);
+    if (how == run_end::done && started != worker.runs.end() &&
+        started->second.run == run)
+    {
+        if (const job_entry* job = jobs_.find(task.step.job))
+        {
+            planner_.note_run_time(
+                job->job.queue, ports_.clock.now() - started->second.started);
+        }
+    }
     workers_.remove_run(worker, task, run);
     const end_effect effect = jobs_.take_end(
         task,
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -64,7 +64,13 @@
     /// Tasks of this step on each worker; filled where a limit asks for it.
     std::map<worker_id, std::uint32_t> on_worker;
     bool at_cap = false; ///< Its account may run no more of it.
+    prospect chance = prospect::in_time;
 
+    /// Order of work: what can still be in time, then by priority.
+    [[nodiscard]] std::pair<prospect, std::uint32_t> rank() const
+    {
+        return {chance, queue->priority};
+    }
     [[nodiscard]] bool advised() const { return queue->advice.has_value(); }
 };
 
@@ -81,13 +87,13 @@
     struct holder
     {
         step_id step;
-        std::uint32_t priority = 0;
+        std::pair<prospect, std::uint32_t> rank;
     };
     std::map<worker_id, holder> held;
 
     void hold(const worker_id& worker, const candidate& step)
     {
-        held.emplace(worker, holder{step.step->id, step.queue->priority});
+        held.emplace(worker, holder{step.step->id, step.rank()});
     }
 };
 
@@ -121,8 +127,15 @@
                 if (step.waiting > 0 && jobs.is_ready(*job, step))
                 {
                     const step_spec& spec = job->spec(step.id);
-                    waiting.push_back(
-                        {job, &step, &spec, queue, room_of(spec), {}});
+                    candidate found;
+                    found.job = job;
+                    found.step = &step;
+                    found.spec = &spec;
+                    found.queue = queue;
+                    found.room = room_of(spec);
+                    found.chance = prospect_of(
+                        *job, step.id.occurrence, *queue, run_times_, now);
+                    waiting.push_back(std::move(found));
                 }
             }
         }
@@ -132,9 +145,9 @@
         waiting.end(),
         [](const candidate& left, const candidate& right)
         {
-            if (left.queue->priority != right.queue->priority)
+            if (left.rank() != right.rank())
             {
-                return left.queue->priority < right.queue->priority;
+                return left.rank() < right.rank();
             }
             if (left.job->known_since != right.job->known_since)
             {
@@ -220,7 +233,7 @@
     }
     const auto held = now.held.find(worker.about.id);
     if (held != now.held.end() && held->second.step != step.step->id &&
-        held->second.priority <= step.queue->priority)
+        held->second.rank <= step.rank())
     {
         return false;
     }
@@ -468,7 +481,8 @@
 void planner::hold_workers(round& now, candidate& step)
 {
     const bool known = !step.advised() || !step.step->permits.allowed.empty();
-    if (!known || held_.contains(step.step->id) ||
+    if (!known || step.chance != prospect::in_time ||
+        held_.contains(step.step->id) ||
         held_.size() >= settings_.most_holding_gangs)
     {
         return;
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/job_book.hpp"
+#include "fleet/urgency.hpp"
 #include "fleet/worker_table.hpp"
 
 #include <map>
@@ -65,6 +66,12 @@
         instant now,
         bool inherited_may_start);
 
+    /// A run ended well after this time.
+    void note_run_time(const queue_name& queue, milliseconds took)
+    {
+        run_times_.note(queue, took);
+    }
+
     /// Takes in what the policy service answered.
     void note_answer(
         job_book& jobs,
@@ -119,6 +126,7 @@
 
     planner_settings settings_;
     std::map<queue_name, double> allowed_share_;
+    run_time_estimates run_times_;
     /// Workers that a gang keeps free for itself until it fits.
     std::map<step_id, std::set<worker_id>> held_;
 };
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -193,7 +193,8 @@
          job.request.occurrences,
          job.request.first_due.time_since_epoch().count(),
          job.request.interval.count(),
-         to_json(job.terms)}));
+         to_json(job.terms),
+         job.accepted.time_since_epoch().count()}));
 }
 
 result<accepted_job>
@@ -218,6 +219,8 @@
             job.request.interval =
                 milliseconds(value.at(6).get<milliseconds::rep>());
             job.terms = terms_from(value.at(7), job.queue);
+            job.accepted =
+                wall_time(milliseconds(value.at(8).get<milliseconds::rep>()));
             return job;
         });
 }
