--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 .PHONY: run test test-sanitizers test-processes build install policy-bench \
 	capacity membership-bench
 
-# Installs what is missing, builds, and runs the main job on the embedded
-# platform.
-run: build
+# Installs what is missing, builds the program alone, and runs the main job on
+# the embedded platform.
+run: install
+	cmake --preset release >/dev/null
+	cmake --build --preset release --target acaciastile
 	build/release/acaciastile dev
 
 # Installs what is missing, builds, and runs the tests.
