Settings that nothing read are gone; bounds of the deployment are kept; one decoder of records

Change: unread fields removed; the lease is at most the longest that workers take, an unconfirmed configuration counts as stale 0.3 s before its bound; src/codec/msgpack_fields.hpp; the test checks that the state is gone.

--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -18,8 +18,9 @@
 /// Kept of the grace period for the process to end by itself.
 constexpr milliseconds stop_margin{700};
 constexpr milliseconds stop_poll{50};
-/// The metrics address stands one above that of the peers.
-constexpr std::uint16_t metrics_path_port_offset = 1;
+/// Kept of the bound for a new configuration: what is not confirmed within the
+/// rest may be replaced when the answer arrives.
+constexpr milliseconds config_margin{300};
 constexpr const char* metrics_path = "/metrics";
 constexpr const char* state_path = "/state";
 
@@ -111,8 +112,10 @@
          {{"vm", settings_.vm.str()},
           {"data_centre", settings_.data_centre.str()}}});
     adapter_ = make_adapter(http_, settings_);
+    config_watch_settings watching;
+    watching.fresh = settings_.config_bound - config_margin;
     config_ = config_watch::create(
-        {}, *adapter_.store, *adapter_.foreign, *clock_, *events_);
+        watching, *adapter_.store, *adapter_.foreign, *clock_, *events_);
     fleet::leadership_settings leading;
     leading.vm = settings_.vm;
     leading.strength = strength_of(settings_);
@@ -236,7 +239,8 @@
     fleet::owner_settings deciding;
     deciding.vm = settings_.vm;
     deciding.status_kept = settings_.status_kept;
-    deciding.request_bytes = settings_.request_bytes;
+    deciding.workers.lease =
+        std::min(deciding.workers.lease, settings_.longest_lease);
     auto owner = fleet::fleet_owner::create(
         deciding,
         {*adapter_.store,
--- a/src/edge/peer_messages.cpp
+++ b/src/edge/peer_messages.cpp
@@ -1,6 +1,6 @@
 #include "edge/peer_messages.hpp"
 
-#include "codec/json_text.hpp"
+#include "codec/msgpack_fields.hpp"
 #include "fleet/records.hpp"
 
 #include <nlohmann/json.hpp>
@@ -26,24 +26,6 @@
         value.at(2).get<std::uint32_t>()};
 }
 
-template<class Value, class Read>
-result<Value> decode_with(std::string_view text, Read read)
-{
-    const result<json> value = parse_msgpack(text);
-    if (!value)
-    {
-        return tl::unexpected(value.error());
-    }
-    try
-    {
-        return read(*value);
-    }
-    catch (const json::exception& fault)
-    {
-        return refuse(refusal_code::malformed, fault.what());
-    }
-}
-
 json to_json(const work_request::answer& answer)
 {
     json allowed = nullptr;
@@ -102,7 +84,7 @@
 
 result<work_request> decode_work_request(std::string_view text)
 {
-    return decode_with<work_request>(
+    return decode_msgpack<work_request>(
         text,
         [](const json& value)
         {
@@ -144,7 +126,7 @@
 
 result<work_reply> decode_work_reply(std::string_view text)
 {
-    return decode_with<work_reply>(
+    return decode_msgpack<work_reply>(
         text,
         [](const json& value)
         {
@@ -182,7 +164,7 @@
 result<accept_request> decode_accept_request(std::string_view text)
 {
     auto parts =
-        decode_with<std::pair<result<fleet::accepted_job>, milliseconds>>(
+        decode_msgpack<std::pair<result<fleet::accepted_job>, milliseconds>>(
             text,
             [](const json& value)
             {
@@ -211,7 +193,7 @@
 
 result<fleet::job_view> decode_job_view(std::string_view text)
 {
-    return decode_with<fleet::job_view>(
+    return decode_msgpack<fleet::job_view>(
         text,
         [](const json& value)
         {
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -69,7 +69,6 @@
     milliseconds status_kept{120'000};
     /// Between two clean-ups of the store's topics.
     milliseconds clean_up{2'000};
-    std::size_t request_bytes = 2U << 20U; ///< Of one append.
 };
 
 /// What the owner needs from its surroundings; all outlive it.
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -1,6 +1,6 @@
 #include "fleet/records.hpp"
 
-#include "codec/json_text.hpp"
+#include "codec/msgpack_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -156,26 +156,6 @@
     return terms;
 }
 
-/// Decodes MessagePack by a function that throws where a field is missing or
-/// of another type.
-template<class Value, class Read>
-result<Value> decode_with(std::string_view text, Read read)
-{
-    const result<json> value = parse_msgpack(text);
-    if (!value)
-    {
-        return tl::unexpected(value.error());
-    }
-    try
-    {
-        return read(*value);
-    }
-    catch (const json::exception& fault)
-    {
-        return refuse(refusal_code::malformed, fault.what());
-    }
-}
-
 } // namespace
 
 std::string encode(const accepted_job& job)
@@ -200,7 +180,7 @@
 result<accepted_job>
 decode_accepted_job(const std::string& id, std::string_view text)
 {
-    return decode_with<accepted_job>(
+    return decode_msgpack<accepted_job>(
         text,
         [&](const json& value)
         {
@@ -245,7 +225,7 @@
 
 result<job_progress> decode_job_progress(std::string_view text)
 {
-    return decode_with<job_progress>(
+    return decode_msgpack<job_progress>(
         text,
         [](const json& value)
         {
@@ -278,7 +258,7 @@
 
 result<ownership_record> decode_ownership_record(std::string_view text)
 {
-    return decode_with<ownership_record>(
+    return decode_msgpack<ownership_record>(
         text,
         [](const json& value)
         {
--- a/src/fleet/settings.hpp
+++ b/src/fleet/settings.hpp
@@ -20,19 +20,15 @@
     std::string address;     ///< Of this VM.
     std::uint16_t peer_port = 0;
     net::endpoint store;
-    net::endpoint policy; ///< Port zero: there is no policy service.
-    std::size_t memory_limit_mib = 256;
+    net::endpoint policy;   ///< Port zero: there is no policy service.
     double cores = 0.25;    ///< Share of a processor core.
     double link_mbps = 100; ///< Of this VM's own link.
 
-    milliseconds heartbeat{1'500};    ///< Of workers in the registry.
     milliseconds grace{6'000};        ///< From the stop signal to the kill.
     milliseconds config_bound{2'000}; ///< For a version to be in force.
     milliseconds longest_lease{10'000};
-    milliseconds gang_timeout{3'000};
     milliseconds status_kept{120'000};
-    std::size_t records_bytes = 256U << 10U; ///< Of one record.
-    std::size_t request_bytes = 2U << 20U;   ///< Of one append.
+    std::size_t request_bytes = 2U << 20U; ///< Of one append.
 };
 
 } // namespace acaciastile::fleet
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -313,11 +313,13 @@
 {
     fleet_world world(1, 1);
     world.settings.status_kept = 10s;
-    world.owner_vm();
     world.submit("a", {tasks(1)});
     REQUIRE(world.run_until("a", job_state::completed, 6s));
     world.run(5s);
     CHECK(world.view("a").known);
+    world.run(10s);
+    CHECK_FALSE(world.view("a").known);
+    CHECK(world.store.newest(fleet::topics::progress, "a").empty());
 }
 
 TEST_CASE("a much stronger VM replaces a weak owner once", "[leadership]")
