A weight and a timeout by name

Cause: last read of the change: a bare factor in the planner, and timeouts told apart by their text. Change: planner_settings::named_share, http_outcome::timed_out.

--- a/src/edge/owner_link.cpp
+++ b/src/edge/owner_link.cpp
@@ -119,7 +119,7 @@
     {
         leaders_.suspect(token, doubt::denies);
     }
-    else if (outcome.effect == verdict::not_run && outcome.failure != "timeout")
+    else if (outcome.effect == verdict::not_run && !outcome.timed_out)
     {
         leaders_.suspect(token, doubt::unreachable);
     }
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -563,7 +563,7 @@
                 continue;
             }
             named.push_back(id);
-            places += known ? 1.0 : share * 0.7;
+            places += known ? 1.0 : share * settings_.named_share;
         }
     };
     consider(true);
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -45,6 +45,9 @@
     double first_allowed_share = 0.5;
     /// Weight of the newest answer in the learnt part.
     double allowed_share_gain = 0.1;
+    /// Part of the expected permits that a question counts on: naming a few
+    /// workers more costs less than asking twice.
+    double named_share = 0.7;
     /// Gangs that may hold workers free for themselves at the same time.
     std::size_t most_holding_gangs = 3;
 };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -255,7 +255,7 @@
     // The socket's handlers still refer to the connection.
     work->finished = true;
     completion done = std::move(work->done);
-    done({effect, {}, "timeout"});
+    done({effect, {}, "timeout", true});
 }
 
 } // namespace acaciastile::net
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -36,6 +36,7 @@
     verdict effect = verdict::not_run;
     http_response response;
     std::string failure; ///< Why there is no answer; empty where there is one.
+    bool timed_out = false;
 
     [[nodiscard]] bool answered() const noexcept
     {
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -79,7 +79,7 @@
     fixture at;
     const http_outcome outcome = at.call("x");
     CHECK(outcome.effect == verdict::not_run);
-    CHECK(outcome.failure != "timeout");
+    CHECK_FALSE(outcome.timed_out);
 }
 
 TEST_CASE("a call without an answer may have run, and others go on", "[net]")
@@ -92,7 +92,7 @@
     { held.push_back(std::move(respond)); };
     const http_outcome lost = at.call("x", 50ms);
     CHECK(lost.effect == verdict::may_have_run);
-    CHECK(lost.failure == "timeout");
+    CHECK(lost.timed_out);
     at.handler = [](const http_request&, const http_responder& respond)
     { respond({}); };
     CHECK(at.call("y").answered());
