A successor counts on workers whose registrations lapsed

Ruled out: run numbers, fencing (the worker refused nothing before it was sealed). Change: the end of the registry's history tells which entries were dropped without a word that their worker leaves; tasks of earlier jobs then wait for the longest lease. Jobs read from the topic before all workers are sealed count as earlier ones. Figures: 'a successor counts on workers whose registration lapsed' fails without the change.

--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -58,8 +58,9 @@
     const milliseconds longest(static_cast<milliseconds::rep>(
         static_cast<double>(settings_.workers.lease.count()) /
         settings_.workers.slowest_clock));
-    // A predecessor may have extended leases until its claim was replaced.
-    inherited_after_ = ports_.clock.now() + longest;
+    // A predecessor may extend leases until a worker that this owner sealed
+    // refuses it, which its next call for lists brings about.
+    inherited_after_ = ports_.clock.now() + longest + settings_.hold_wait;
     fence();
 }
 
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -5,6 +5,81 @@
 namespace acaciastile::fleet
 {
 
+namespace
+{
+
+/// Records of the registry's history that are looked through for lapsed
+/// entries: some 10 s of 350 workers, within one answer of the store.
+constexpr log_offset history_window = 2'500;
+/// Stands for workers that may exist and are not known; never sealed.
+constexpr const char* unknown_worker = "?";
+
+/// Workers whose entries were dropped without a word that they leave. They
+/// may live and run what an earlier owner started.
+std::set<worker_id>
+lapsed_in(const store_page& history, const foreign_records& foreign)
+{
+    std::set<worker_id> lapsed;
+    std::set<worker_id> leaving;
+    for (const store_record& record : history.records)
+    {
+        const worker_id id(record.key);
+        const auto about = foreign.read_registration(record.key, record.value);
+        if (about)
+        {
+            lapsed.erase(id);
+            leaving.erase(id);
+            if (about->draining)
+            {
+                leaving.insert(id);
+            }
+        }
+        else if (record.value.empty() && !leaving.contains(id))
+        {
+            lapsed.insert(id);
+        }
+    }
+    return lapsed;
+}
+
+/// Reads the end of the registry's history; gives what lapsed in it.
+void find_lapsed(
+    metadata_store& store,
+    foreign_records& foreign,
+    log_offset from,
+    log_offset end,
+    std::function<void(std::set<worker_id>)> done)
+{
+    store.read(
+        foreign.registry_topic(),
+        from,
+        milliseconds::zero(),
+        [&store, &foreign, from, end, done = std::move(done)](
+            const result<store_page>& history)
+        {
+            if (history && history->end >= end)
+            {
+                done(lapsed_in(*history, foreign));
+                return;
+            }
+            log_offset first = from;
+            if (!history &&
+                history.error().code == refusal_code::offset_expired)
+            {
+                const std::string& text = history.error().message;
+                std::from_chars(text.data(), text.data() + text.size(), first);
+            }
+            if (first > from)
+            {
+                find_lapsed(store, foreign, first, end, done);
+                return;
+            }
+            done({worker_id(unknown_worker)});
+        });
+}
+
+} // namespace
+
 void fleet_owner::fence()
 {
     append_options options;
@@ -108,19 +183,39 @@
                 {
                     self.unheard_.insert(id);
                 }
-                self.loaded_ = true;
-                self.ports_.events.emit(
-                    {event_number::fleet_loaded,
-                     {{"token", std::to_string(self.token_)},
-                      {"jobs", std::to_string(self.jobs_.all().size())},
-                      {"open", std::to_string(self.jobs_.open().size())},
-                      {"workers",
-                       std::to_string(self.workers_.all().size())}}});
-                self.tail_jobs();
-                self.later(self.settings_.clean_up, &fleet_owner::drop_ended);
-                self.later(
-                    self.settings_.registry_poll, &fleet_owner::poll_registry);
-                self.wake();
+                find_lapsed(
+                    self.ports_.store,
+                    self.ports_.foreign,
+                    page->end > history_window ? page->end - history_window : 0,
+                    page->end,
+                    self.guarded(
+                        [](fleet_owner& begun,
+                           const std::set<worker_id>& lapsed)
+                        {
+                            for (const worker_id& id : lapsed)
+                            {
+                                begun.unheard_.insert(id);
+                            }
+                            begun.loaded_ = true;
+                            begun.ports_.events.emit(
+                                {event_number::fleet_loaded,
+                                 {{"token", std::to_string(begun.token_)},
+                                  {"jobs",
+                                   std::to_string(begun.jobs_.all().size())},
+                                  {"open",
+                                   std::to_string(begun.jobs_.open().size())},
+                                  {"workers",
+                                   std::to_string(begun.workers_.all().size())},
+                                  {"lapsed", std::to_string(lapsed.size())}}});
+                            begun.tail_jobs();
+                            begun.later(
+                                begun.settings_.clean_up,
+                                &fleet_owner::drop_ended);
+                            begun.later(
+                                begun.settings_.registry_poll,
+                                &fleet_owner::poll_registry);
+                            begun.wake();
+                        }));
             }));
 }
 
@@ -210,9 +305,12 @@
 
 void fleet_owner::take_jobs(const store_page& page)
 {
+    // A replaced owner that has not read of its replacement may have started
+    // what was stored since.
+    const bool inherited = !inherited_may_start();
     for (const store_record& record : page.records)
     {
-        take_job(record, false);
+        take_job(record, inherited);
     }
     jobs_next_ = std::max(jobs_next_, page.end);
     if (!page.records.empty())
@@ -318,7 +416,7 @@
         [&](const worker_id& id)
         {
             const worker_entry* worker = workers_.find(id);
-            return worker == nullptr || worker->sealed;
+            return worker != nullptr && worker->sealed;
         });
     inherited_cleared_ =
         unheard_.empty() || ports_.clock.now() >= inherited_after_;
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -483,3 +483,19 @@
     REQUIRE(world.owner() != nullptr);
     CHECK(world.owner()->token() == token);
 }
+
+TEST_CASE("a successor counts on workers whose registration lapsed", "[fleet]")
+{
+    fleet_world world(2, 2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{8s, false};
+    };
+    world.submit("a", {tasks(20)});
+    world.run(1s);
+    // Their heartbeats were lost; what runs there goes on.
+    world.store.put("registry", "w0", "");
+    world.run(500ms);
+    world.owner_vm()->kill();
+    CHECK(world.run_until("a", job_state::completed, 40s));
+    CHECK(world.broken_promises().empty());
+}
