The end of a job that is not read yet stays with its worker

An owner that listed the end of a job whose record it had not read yet treated it as unknown and acknowledged it. Ruled out: the storing of progress (an end of a known job is acknowledged only after its append was answered; its test stands). Change: for 30 s after a take-over such an end is left with the worker, which counts as not heard, until the job is read.

--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -8,6 +8,15 @@
 namespace acaciastile::fleet
 {
 
+namespace
+{
+
+/// After the last start of a replaced owner, until an end of an unknown job is
+/// of a job that was forgotten: an outage of the store may delay its record.
+constexpr milliseconds unread_job_patience{30'000};
+
+} // namespace
+
 void fleet_owner::hold_workers()
 {
     const instant now = ports_.clock.now();
@@ -157,11 +166,20 @@
     }
     for (const ended_run& each : status.ended)
     {
-        if (each.number > worker.processed)
+        if (each.number <= worker.processed)
         {
-            take_end(worker, each);
-            worker.processed = each.number;
+            continue;
+        }
+        if (jobs_.find(each.task.step.job) == nullptr &&
+            now < inherited_after_ + unread_job_patience)
+        {
+            // A replaced owner may have started a job whose record this owner
+            // has not read. The end stays with the worker until it has.
+            worker.sealed = false;
+            break;
         }
+        take_end(worker, each);
+        worker.processed = each.number;
     }
     settle_missing(worker, asked, status);
 }
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -499,3 +499,31 @@
     CHECK(world.run_until("a", job_state::completed, 40s));
     CHECK(world.broken_promises().empty());
 }
+
+TEST_CASE("the end of a job that is not read yet is not forgotten", "[fleet]")
+{
+    fleet_world world(2, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{100ms, false};
+    };
+    world.run(1s);
+    const std::uint64_t token = world.owner()->token();
+    world.owner_vm()->kill();
+    // The replaced owner started it; its record is read later.
+    fleet::start_order order;
+    order.task = {{job_id("a"), 0, 0}, 0};
+    order.run = 1;
+    world.workers.start(
+        {worker_id("w0"), "w0", 1},
+        token,
+        worker_instant(60s),
+        order,
+        [](const result<fleet::start_answer>&) {});
+    world.run(2s);
+    REQUIRE(world.owner() != nullptr);
+    REQUIRE(world.owner()->loaded());
+    world.submit("a", {tasks(1)});
+    CHECK(world.run_until("a", job_state::completed, 12s));
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
