What a successor has not read: ends behind an unread one, dropped registry, long reads

The list is now left whole, and such a job starts nothing until the workers that list runs of it have been taken in. - A registry whose history had been dropped was read on from its first kept record: a notice that a worker leaves could be missed for good. The newest entries are read again. - A read that one answer could not hold counted as complete; a job behind it was answered as unknown. Reads go on to the end of the topic.

Removed: leadership::since_confirmed and step_entry::ready_since, unused.

--- a/src/edge/config_watch.cpp
+++ b/src/edge/config_watch.cpp
@@ -124,7 +124,10 @@
                 self->take(record);
             }
             self->next_ = page->end;
-            self->confirmed_ = asked;
+            if (page->is_last())
+            {
+                self->confirmed_ = asked;
+            }
             self->note_success();
             self->follow();
         });
--- a/src/fleet/job_book.cpp
+++ b/src/fleet/job_book.cpp
@@ -44,7 +44,6 @@
         steps[at].tasks.resize(job.job.request.steps[at].count);
         steps[at].waiting = job.job.request.steps[at].count;
         steps[at].opened = now;
-        steps[at].ready_since = now;
     }
 }
 
@@ -244,7 +243,6 @@
     run_end how,
     const std::string& checkpoint,
     std::uint32_t attempts,
-    instant now,
     wall_time wall)
 {
     job_entry* job = find(task.step.job);
@@ -269,11 +267,11 @@
         }
         if (job->spec(task.step).gang)
         {
-            finish_gang(*job, step, now, wall);
+            finish_gang(*job, step, wall);
         }
         else
         {
-            finish_task(*job, step, *entry, now, wall);
+            finish_task(*job, step, *entry, wall);
         }
         return end_effect::task_done;
     }
@@ -324,11 +322,7 @@
 }
 
 void job_book::finish_task(
-    job_entry& job,
-    step_entry& step,
-    task_entry& task,
-    instant now,
-    wall_time wall)
+    job_entry& job, step_entry& step, task_entry& task, wall_time wall)
 {
     if (task.state == task_entry::phase::active)
     {
@@ -347,15 +341,11 @@
         return;
     }
     bool all_done = job.occurrences.size() == job.occurrence_count();
-    for (auto& steps : job.occurrences)
+    for (const auto& steps : job.occurrences)
     {
-        for (step_entry& each : steps)
+        for (const step_entry& each : steps)
         {
             all_done = all_done && each.done == each.tasks.size();
-            if (each.id.occurrence == step.id.occurrence && each.done == 0)
-            {
-                each.ready_since = now;
-            }
         }
     }
     if (all_done)
@@ -364,14 +354,13 @@
     }
 }
 
-void job_book::finish_gang(
-    job_entry& job, step_entry& step, instant now, wall_time wall)
+void job_book::finish_gang(job_entry& job, step_entry& step, wall_time wall)
 {
     for (task_entry& each : step.tasks)
     {
         if (each.state != task_entry::phase::done)
         {
-            finish_task(job, step, each, now, wall);
+            finish_task(job, step, each, wall);
         }
     }
 }
--- a/src/fleet/job_book.hpp
+++ b/src/fleet/job_book.hpp
@@ -56,8 +56,7 @@
     std::uint32_t active = 0;
     std::uint32_t done = 0;
     std::vector<run_number> failed_gang_runs;
-    instant opened{};      ///< When its occurrence was due.
-    instant ready_since{}; ///< When its last predecessor was done.
+    instant opened{}; ///< When its occurrence was due.
     permit_entry permits;
 };
 
@@ -72,6 +71,8 @@
     /// Accepted before this owner took over: a predecessor may have started
     /// tasks of it on workers that were not heard yet.
     bool inherited = false;
+    /// A worker lists runs of it that are not taken in yet.
+    bool unsettled = false;
     bool excess = false;  ///< Its account was over its rate.
     bool changed = false; ///< Has progress that is not stored.
     wall_time ended{};
@@ -168,7 +169,6 @@
         run_end how,
         const std::string& checkpoint,
         std::uint32_t attempts,
-        instant now,
         wall_time wall);
 
     /// Cancels a job; false where it is unknown. A final job stays as it is.
@@ -203,13 +203,8 @@
         std::uint32_t attempts,
         wall_time wall);
     void finish_task(
-        job_entry& job,
-        step_entry& step,
-        task_entry& task,
-        instant now,
-        wall_time wall);
-    void
-    finish_gang(job_entry& job, step_entry& step, instant now, wall_time wall);
+        job_entry& job, step_entry& step, task_entry& task, wall_time wall);
+    void finish_gang(job_entry& job, step_entry& step, wall_time wall);
     void set_waiting(step_entry& step, task_entry& task);
 
     std::uint64_t token_;
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -48,11 +48,6 @@
     read();
 }
 
-milliseconds leadership::since_confirmed() const
-{
-    return clock_.now_with_suspends() - confirmed_;
-}
-
 void leadership::read()
 {
     const milliseconds wait =
@@ -183,7 +178,6 @@
     if (!was && is_owner())
     {
         renewal_failed_ = false;
-        confirmed_ = clock_.now_with_suspends();
         listener_.on_gained(own_token_);
         renew();
     }
@@ -344,7 +338,6 @@
             {
                 // The topic ended here, so nothing of others came before.
                 next_ = std::max(next_, *stored + 1);
-                confirmed_ = std::max(confirmed_, asked);
                 const milliseconds took = clock_.now_with_suspends() - asked;
                 again(std::max(milliseconds::zero(), settings_.renewal - took));
                 return;
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -86,10 +86,6 @@
     {
         return owner_ && owner_->token == own_token_ && own_token_ != 0;
     }
-    /// How long ago this VM's ownership was confirmed by the store, suspends
-    /// of the VM included.
-    [[nodiscard]] milliseconds since_confirmed() const;
-
     /// True while the store does not take this owner's renewals.
     [[nodiscard]] bool is_renewal_failing() const noexcept
     {
@@ -155,7 +151,6 @@
     std::optional<owner_view> owner_;
     instant owned_since_{}; ///< By the present owner.
     instant heard_{};       ///< Last word of the owner, or of a silent store.
-    instant confirmed_{};   ///< With suspends.
     std::uint64_t own_token_ = 0;
     std::string nonce_;
     bool appending_ = false;
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -153,6 +153,8 @@
     void load_registry();
     void take_registration(const store_record& record);
     void poll_registry();
+    /// Takes in the newest entries where the history between was dropped.
+    void reload_registry();
     void tail_jobs();
     void take_job(const store_record& record, bool inherited);
     /// Reads on in the topic of jobs; `done` hears whether all that was stored
@@ -193,6 +195,12 @@
         const result<worker_status>& told);
     void take_status(
         worker_entry& worker, instant asked, const worker_status& status);
+    /// A replaced owner may have started a job whose record this owner has
+    /// not read: true while that can be.
+    [[nodiscard]] bool is_unread(const job_id& id);
+    void note_unread(worker_entry& worker, const job_id& id);
+    /// What the worker lists is taken in anew.
+    void forget_unread(const worker_id& worker);
     void take_end(worker_entry& worker, const ended_run& ended);
     void take_running(worker_entry& worker, const running_run& running);
     void settle_missing(
@@ -252,6 +260,8 @@
     instant inherited_after_{}; ///< All leases of predecessors have ended.
     bool inherited_cleared_ = false;
     std::set<worker_id> unheard_; ///< Listed at the start and not sealed.
+    /// Workers that list runs of a job whose record is not read.
+    std::map<job_id, std::set<worker_id>> unread_;
 
     log_offset jobs_next_ = 0;
     log_offset registry_next_ = 0;
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -245,7 +245,12 @@
         age > milliseconds::zero() && age < settings_.status_kept;
     job_entry* added = jobs_.add(
         std::move(job), inherited, inherited && plausible ? now - age : now);
-    if (added == nullptr || inherited)
+    if (added == nullptr)
+    {
+        return;
+    }
+    added->unsettled = unread_.contains(added->job.id);
+    if (inherited)
     {
         return;
     }
@@ -276,7 +281,9 @@
                 {
                     self.take_jobs(*page);
                     self.later(
-                        self.settings_.jobs_pause, &fleet_owner::tail_jobs);
+                        page->is_last() ? self.settings_.jobs_pause
+                                        : milliseconds::zero(),
+                        &fleet_owner::tail_jobs);
                     return;
                 }
                 if (page.error().code == refusal_code::offset_expired)
@@ -340,6 +347,11 @@
                     return;
                 }
                 self.take_jobs(*page);
+                if (!page->is_last())
+                {
+                    self.read_jobs_now(done);
+                    return;
+                }
                 done({});
             }));
 }
@@ -394,11 +406,35 @@
                 }
                 else if (page.error().code == refusal_code::offset_expired)
                 {
-                    const std::string& first = page.error().message;
-                    std::from_chars(
-                        first.data(),
-                        first.data() + first.size(),
-                        self.registry_next_);
+                    self.reload_registry();
+                    return;
+                }
+                self.later(
+                    self.settings_.registry_poll, &fleet_owner::poll_registry);
+            }));
+}
+
+void fleet_owner::reload_registry()
+{
+    ports_.store.read_newest(
+        ports_.foreign.registry_topic(),
+        guarded(
+            [](fleet_owner& self, const result<store_page>& page)
+            {
+                if (page)
+                {
+                    std::set<worker_id> listed;
+                    for (const store_record& record : page->records)
+                    {
+                        listed.insert(worker_id(record.key));
+                        self.take_registration(record);
+                    }
+                    for (const auto& [id, worker] : self.workers_.all())
+                    {
+                        worker->listed = listed.contains(id);
+                    }
+                    self.registry_next_ = page->end;
+                    self.wake();
                 }
                 self.later(
                     self.settings_.registry_poll, &fleet_owner::poll_registry);
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-/// After the last start of a replaced owner, until an end of an unknown job is
+/// After the last start of a replaced owner, until a run of an unknown job is
 /// of a job that was forgotten: an outage of the store may delay its record.
 constexpr milliseconds unread_job_patience{30'000};
 
@@ -160,8 +160,14 @@
               {"ended", std::to_string(status.ended.size())}}});
     }
     workers_.note_clock(worker, status.clock, asked, now);
+    forget_unread(worker.about.id);
     for (const running_run& each : status.running)
     {
+        if (is_unread(each.task.step.job))
+        {
+            note_unread(worker, each.task.step.job);
+            continue;
+        }
         take_running(worker, each);
     }
     for (const ended_run& each : status.ended)
@@ -170,13 +176,12 @@
         {
             continue;
         }
-        if (jobs_.find(each.task.step.job) == nullptr &&
-            now < inherited_after_ + unread_job_patience)
+        if (is_unread(each.task.step.job))
         {
-            // A replaced owner may have started a job whose record this owner
-            // has not read. The end stays with the worker until it has.
-            worker.sealed = false;
-            break;
+            // The end stays with the worker until the job is read, and so do
+            // those behind it: which runs are missing is not known.
+            note_unread(worker, each.task.step.job);
+            return;
         }
         take_end(worker, each);
         worker.processed = each.number;
@@ -184,6 +189,36 @@
     settle_missing(worker, asked, status);
 }
 
+bool fleet_owner::is_unread(const job_id& id)
+{
+    return jobs_.find(id) == nullptr &&
+           ports_.clock.now() < inherited_after_ + unread_job_patience;
+}
+
+void fleet_owner::note_unread(worker_entry& worker, const job_id& id)
+{
+    worker.sealed = false;
+    unread_[id].insert(worker.about.id);
+}
+
+void fleet_owner::forget_unread(const worker_id& worker)
+{
+    for (auto at = unread_.begin(); at != unread_.end();)
+    {
+        at->second.erase(worker);
+        if (!at->second.empty())
+        {
+            ++at;
+            continue;
+        }
+        if (job_entry* job = jobs_.find(at->first))
+        {
+            job->unsettled = false;
+        }
+        at = unread_.erase(at);
+    }
+}
+
 void fleet_owner::take_running(worker_entry& worker, const running_run& running)
 {
     const auto at = worker.runs.find(running.task);
@@ -271,7 +306,6 @@
         how,
         checkpoint,
         attempts_of(task.step.job),
-        ports_.clock.now(),
         ports_.clock.wall());
     ports_.metrics.count("fleet_ends", names[static_cast<std::size_t>(how)], 1);
     ports_.events.emit(
@@ -382,6 +416,17 @@
 void fleet_owner::check_lapsed()
 {
     const instant now = ports_.clock.now();
+    if (!unread_.empty() && now >= inherited_after_ + unread_job_patience)
+    {
+        for (const auto& [id, listed_by] : unread_)
+        {
+            if (job_entry* job = jobs_.find(id))
+            {
+                job->unsettled = false;
+            }
+        }
+        unread_.clear();
+    }
     for (const auto& [id, worker] : workers_.all())
     {
         if (!worker->reachable && !worker->runs.empty() &&
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -115,7 +115,7 @@
     std::vector<candidate> waiting;
     for (job_entry* job : jobs.open())
     {
-        if (job->inherited && !inherited_may_start)
+        if (job->unsettled || (job->inherited && !inherited_may_start))
         {
             continue;
         }
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -57,6 +57,11 @@
 {
     std::vector<store_record> records;
     log_offset end = 0; ///< Where to read on.
+    /// Where the topic ended when it was read; beyond `end` where one answer
+    /// could not hold all.
+    log_offset topic_end = 0;
+
+    [[nodiscard]] bool is_last() const noexcept { return end >= topic_end; }
 };
 
 /// The platform's metadata store: topics of records in one order each.
--- a/src/standin/memory_store.cpp
+++ b/src/standin/memory_store.cpp
@@ -213,13 +213,16 @@
         return;
     }
     fleet::store_page page;
-    page.end = std::max(from, end);
+    page.topic_end = std::max(from, end);
+    page.end = page.topic_end;
     if (from < end)
     {
+        page.end = std::min(end, from + store_.page_records);
         page.records.assign(
             data.records.begin() +
                 static_cast<std::ptrdiff_t>(from - data.first),
-            data.records.end());
+            data.records.begin() +
+                static_cast<std::ptrdiff_t>(page.end - data.first));
     }
     done(std::move(page));
 }
@@ -240,6 +243,7 @@
             topic_data& data = store_.topics_[topic];
             fleet::store_page page;
             page.end = data.first + data.records.size();
+            page.topic_end = page.end;
             for (const auto& [key, record] : data.newest)
             {
                 page.records.push_back(record);
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -527,3 +527,72 @@
     CHECK(world.starts_of("a").size() == 1);
     CHECK(world.broken_promises().empty());
 }
+
+TEST_CASE("an end listed behind one of an unread job is not lost", "[fleet]")
+{
+    fleet_world world(2, 2);
+    world.workers.behaviour = [](const fleet::task_ref& task)
+    {
+        return standin::task_behaviour{
+            task.step.job == job_id("unread") ? 400ms : 4s, false};
+    };
+    world.submit("read", {tasks(1)});
+    world.run(150ms);
+    REQUIRE(world.owner() != nullptr);
+    const std::uint64_t token = world.owner()->token();
+    REQUIRE(world.starts_of("read").size() == 1);
+    const worker_id there = world.starts_of("read").front().worker;
+    fleet::start_order order;
+    order.task = {{job_id("unread"), 0, 0}, 0};
+    order.run = 1;
+    world.owner_vm()->kill();
+    world.workers.start(
+        {there, there.str(), there == worker_id("w0") ? 1U : 2U},
+        token,
+        worker_instant(60s),
+        order,
+        [](const result<fleet::start_answer>&) {});
+    world.run(10s);
+    REQUIRE(world.owner() != nullptr);
+    REQUIRE(world.owner()->loaded());
+    world.submit("unread", {tasks(1)});
+    CHECK(world.run_until("read", job_state::completed, 12s));
+    CHECK(world.run_until("unread", job_state::completed, 12s));
+    CHECK(world.starts_of("read").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
+
+TEST_CASE("a notice in history that was dropped is heeded", "[fleet]")
+{
+    fleet_world world(1, 3);
+    world.run(500ms);
+    world.register_worker("w0", "draining");
+    world.store.put("registry", "w1", "");
+    world.store.forget_before("registry", world.store.end("registry"));
+    world.run(700ms);
+    world.submit("a", {tasks(10)});
+    CHECK(world.run_until("a", job_state::completed, 6s));
+    for (const auto& each : world.workers.events())
+    {
+        CHECK(each.worker == worker_id("w2"));
+    }
+}
+
+TEST_CASE("a job behind the first page of a read is not denied", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.run(500ms);
+    world.store.page_records = 4;
+    for (int each = 0; each < 30; ++each)
+    {
+        world.submit("job" + std::to_string(each), {tasks(1)});
+    }
+    std::optional<result<fleet::job_view>> seen;
+    world.owner()->look_up(
+        job_id("job29"),
+        [&](const result<fleet::job_view>& view) { seen = view; });
+    world.run(1s);
+    REQUIRE(seen.has_value());
+    REQUIRE(seen->has_value());
+    CHECK((*seen)->known);
+}
