A silent owner is replaced after 1.1 s where it answers no VM either

The limit on silence was looked at only as a read of the ownership topic ended, up to 1 s late: the claims told 2,155 ms of silence against a limit of 1,700. Besides, jobs handed over to the lost owner waited 1.4 s before their VM stored them.

Change: reads end when a limit on silence is due. After 750 ms without a renewal, or 250 ms without an answer for a job, a VM asks the owner whether it is there; where nothing comes within 300 ms, jobs handed over are stored by their VM, calls on behalf of callers fail at once, and the fleet may be claimed after 1,050 ms of silence. The longer limit holds for an owner that answers, as its renewals may be held up by the store.

Ruled out: loading (0.2 s) and the spread of claims (60 ms).

--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -268,6 +268,11 @@
     clock_->after(milliseconds::zero(), [this] { drop_owner(); });
 }
 
+void edge_process::on_owner_quiet()
+{
+    owner_->check_alive();
+}
+
 void edge_process::drop_owner()
 {
     if (owner_ && owner_->local() &&
--- a/src/edge/edge_process.hpp
+++ b/src/edge/edge_process.hpp
@@ -79,6 +79,7 @@
     result<void> listen();
     void on_gained(std::uint64_t token) override;
     void on_lost() override;
+    void on_owner_quiet() override;
     void drop_owner();
     /// Stores a job on this VM's own way to the store.
     void store_here(
--- a/src/edge/owner_link.cpp
+++ b/src/edge/owner_link.cpp
@@ -18,6 +18,12 @@
 constexpr milliseconds beyond_wait{900};
 /// Longest wait for the owner to store a job, before this VM stores it itself.
 constexpr milliseconds longest_accept{1'400};
+/// A job that the owner has not answered for by then makes this VM ask whether
+/// it is there; storing takes some 10 ms, and 0.5 s while the store is slow.
+constexpr milliseconds check_accept_after{250};
+/// An owner that does not say within this time that it is there is silent: a
+/// slowed VM needs some 50 ms.
+constexpr milliseconds alive_timeout{300};
 /// Longest wait for the owner on a caller's behalf.
 constexpr milliseconds longest_call{1'500};
 
@@ -40,6 +46,7 @@
 {
     const auto& owner = leaders_.owner();
     return !local_ && owner && owner->token == answered_token_ &&
+           owner->token != silent_token_ &&
            age_of(answered_, clock_.now()) <= reach_memory;
 }
 
@@ -53,6 +60,84 @@
     local_ = std::move(owner);
 }
 
+std::optional<net::endpoint> owner_link::owner_address() const
+{
+    const auto& owner = leaders_.owner();
+    if (!owner)
+    {
+        return std::nullopt;
+    }
+    const std::pair<std::string, std::string> parts =
+        absl::StrSplit(owner->address, ':');
+    std::uint32_t port = 0;
+    if (!absl::SimpleAtoi(parts.second, &port))
+    {
+        return std::nullopt;
+    }
+    return net::endpoint{parts.first, static_cast<std::uint16_t>(port)};
+}
+
+void owner_link::check_alive()
+{
+    const auto address = owner_address();
+    if (checking_ || local_ || !address)
+    {
+        return;
+    }
+    checking_ = true;
+    constexpr bool repeatable = true;
+    http_.call(
+        *address,
+        {http::verb::post, peer_paths::alive, 11},
+        alive_timeout,
+        repeatable,
+        [this,
+         token = leaders_.owner()->token](const net::http_outcome& outcome)
+        {
+            checking_ = false;
+            if (outcome.answered())
+            {
+                answered_ = clock_.now();
+                answered_token_ = token;
+                silent_token_ = 0;
+            }
+            else if (outcome.timed_out)
+            {
+                note_silent(token);
+                return;
+            }
+            note_answer(token, outcome);
+        });
+}
+
+void owner_link::note_silent(std::uint64_t token)
+{
+    silent_token_ = token;
+    leaders_.suspect(token, fleet::leadership::doubt::silent);
+    const auto waiting = handed_over_;
+    for (const std::shared_ptr<handed_over>& each : waiting)
+    {
+        if (each->token == token)
+        {
+            each->finish(refuse(
+                refusal_code::no_owner,
+                verdict::may_have_run,
+                "the owner does not answer"));
+        }
+    }
+}
+
+void owner_link::handed_over::finish(const result<void>& outcome)
+{
+    if (!done)
+    {
+        return;
+    }
+    const auto tell = std::move(done);
+    done = nullptr;
+    tell(outcome);
+}
+
 void owner_link::call(
     const char* path,
     std::string body,
@@ -60,17 +145,15 @@
     fleet::completion<std::string> done)
 {
     const auto& owner = leaders_.owner();
-    if (!owner)
+    const auto address = owner_address();
+    if (!address)
     {
-        done(no_owner("no VM owns the fleet at the moment"));
+        done(no_owner("no VM that can be called owns the fleet"));
         return;
     }
-    const std::pair<std::string, std::string> parts =
-        absl::StrSplit(owner->address, ':');
-    std::uint32_t port = 0;
-    if (!absl::SimpleAtoi(parts.second, &port))
+    if (owner->token == silent_token_ && path != peer_paths::work)
     {
-        done(no_owner("the owner's address cannot be read"));
+        done(no_owner("the owner does not answer"));
         return;
     }
     net::http_request request{http::verb::post, path, 11};
@@ -80,7 +163,7 @@
     // which would say that the job is not stored.
     const bool repeatable = path != peer_paths::accept;
     http_.call(
-        {parts.first, static_cast<std::uint16_t>(port)},
+        *address,
         std::move(request),
         timeout,
         repeatable,
@@ -91,6 +174,7 @@
             {
                 answered_ = clock_.now();
                 answered_token_ = token;
+                silent_token_ = 0;
             }
             if (outcome.status() == 200)
             {
@@ -258,18 +342,27 @@
 void owner_link::accept(
     const accept_request& request, fleet::completion<void> done)
 {
+    auto job = std::make_shared<handed_over>();
+    job->token = leaders_.owner() ? leaders_.owner()->token : 0;
+    job->done = std::move(done);
+    handed_over_.push_back(job);
+    clock_.after(
+        check_accept_after,
+        [this, job]
+        {
+            if (job->done)
+            {
+                check_alive();
+            }
+        });
     call(
         peer_paths::accept,
         encode(request),
         std::min(request.deadline / 2, longest_accept),
-        [done = std::move(done)](const result<std::string>& body)
+        [this, job](const result<std::string>& body)
         {
-            if (!body)
-            {
-                done(tl::unexpected(body.error()));
-                return;
-            }
-            done({});
+            handed_over_.remove(job);
+            job->finish(body ? result<void>{} : tl::unexpected(body.error()));
         });
 }
 
--- a/src/edge/owner_link.hpp
+++ b/src/edge/owner_link.hpp
@@ -4,6 +4,10 @@
 #include "fleet/leadership.hpp"
 #include "net/http_client.hpp"
 
+#include <list>
+#include <memory>
+#include <optional>
+
 namespace acaciastile::edge
 {
 
@@ -40,6 +44,9 @@
     /// Hands a job over to be stored. Errors besides: `log_unavailable`; the
     /// verdict says whether it may be stored.
     void accept(const accept_request& request, fleet::completion<void> done);
+    /// Asks the owner whether it is there; where no answer comes, calls to it
+    /// that have none yet end, and others may claim the fleet sooner.
+    void check_alive();
     /// The store turns the owner away; another VM may do better.
     void note_renewal_failing(std::uint64_t token);
     /// This VM's token where the store turns it away as the owner, else zero.
@@ -52,6 +59,17 @@
     [[nodiscard]] bool is_within_reach() const;
 
 private:
+    /// A job that was handed over and not answered for.
+    struct handed_over
+    {
+        std::uint64_t token = 0;
+        fleet::completion<void> done; ///< Empty once it was called.
+
+        void finish(const result<void>& outcome);
+    };
+
+    [[nodiscard]] std::optional<net::endpoint> owner_address() const;
+    void note_silent(std::uint64_t token);
     void call(
         const char* path,
         std::string body,
@@ -65,6 +83,9 @@
     std::shared_ptr<fleet::fleet_owner> local_;
     instant answered_ = instant::min(); ///< The owner's last answer.
     std::uint64_t answered_token_ = 0;  ///< Whose answer it was.
+    std::uint64_t silent_token_ = 0;    ///< Did not say that it is there.
+    bool checking_ = false;
+    std::list<std::shared_ptr<handed_over>> handed_over_;
 };
 
 } // namespace acaciastile::edge
--- a/src/edge/peer_api.cpp
+++ b/src/edge/peer_api.cpp
@@ -34,6 +34,11 @@
         respond(reply(http::status::conflict, "not the owner"));
         return;
     }
+    if (path == peer_paths::alive)
+    {
+        respond(reply(http::status::ok, {}));
+        return;
+    }
     if (!owner->loaded())
     {
         respond(reply(http::status::service_unavailable, "loading"));
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -48,14 +48,49 @@
     read();
 }
 
+milliseconds leadership::patience() const
+{
+    return owner_ && owner_->token == silent_token_ ? settings_.doubted_takeover
+                                                    : settings_.takeover;
+}
+
+milliseconds leadership::wait_for_news() const
+{
+    if (!read_ok_)
+    {
+        return milliseconds::zero();
+    }
+    const milliseconds silence = clock_.now() - heard_;
+    for (const milliseconds limit :
+         {settings_.check_after,
+          settings_.doubted_takeover,
+          settings_.takeover})
+    {
+        if (!is_owner() && silence < limit)
+        {
+            return std::min(settings_.read_wait, limit - silence);
+        }
+    }
+    return settings_.read_wait;
+}
+
+void leadership::check_quiet()
+{
+    if (quiet_told_ || !read_ok_ || !owner_ || is_owner() ||
+        clock_.now() - heard_ < settings_.check_after)
+    {
+        return;
+    }
+    quiet_told_ = true;
+    listener_.on_owner_quiet();
+}
+
 void leadership::read()
 {
-    const milliseconds wait =
-        read_ok_ ? settings_.read_wait : milliseconds::zero();
     store_.read(
         topic,
         next_,
-        wait,
+        wait_for_news(),
         [weak = weak_from_this()](result<store_page> page)
         {
             const auto self = weak.lock();
@@ -119,6 +154,7 @@
         }
     }
     next_ = std::max(next_, page.end);
+    check_quiet();
     consider_claim();
 }
 
@@ -133,6 +169,8 @@
         return;
     }
     heard_ = clock_.now();
+    silent_token_ = 0;
+    quiet_told_ = false;
     switch (told->what)
     {
     case ownership_record::kind::claim:
@@ -201,6 +239,21 @@
     {
         return;
     }
+    if (why == doubt::silent)
+    {
+        silent_token_ = token;
+        const milliseconds left = heard_ + patience() - clock_.now();
+        clock_.after(
+            std::max(milliseconds::zero(), left),
+            [weak = weak_from_this()]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->consider_claim();
+                }
+            });
+        return;
+    }
     heard_ = clock_.now() - settings_.takeover;
     consider_claim();
 }
@@ -219,7 +272,7 @@
         return false;
     }
     return !owner_ || owner_is_former_life_ ||
-           clock_.now() - heard_ >= settings_.takeover || owner_is_weak();
+           clock_.now() - heard_ >= patience() || owner_is_weak();
 }
 
 void leadership::consider_claim()
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -19,7 +19,13 @@
     /// From one renewal of the owner to the next, answers included.
     milliseconds renewal{500};
     /// Silence of the owner, while the store answers, until another claims.
+    /// Three renewals, one of which may go unanswered.
     milliseconds takeover{1'700};
+    /// Silence after which the owner is asked directly: a renewal is missing.
+    milliseconds check_after{750};
+    /// As `takeover`, where the owner does not answer this VM either. Two
+    /// renewals.
+    milliseconds doubted_takeover{1'050};
     /// An owner that denies being one may not have read its own claim yet, for
     /// this long after this VM has.
     milliseconds claim_travel{250};
@@ -59,6 +65,9 @@
     virtual ~leadership_listener() = default;
     virtual void on_gained(std::uint64_t token) = 0;
     virtual void on_lost() = 0;
+    /// A renewal of the owner is missing; `suspect` takes what comes of asking
+    /// it directly.
+    virtual void on_owner_quiet() = 0;
 };
 
 /// Agrees on one owner through a topic of the store. A claim takes effect only
@@ -97,7 +106,8 @@
     {
         unreachable, ///< Refused a connection: its process is gone.
         denies,      ///< Says that it is not the owner.
-        cut_off      ///< The store does not take its renewals.
+        cut_off,     ///< The store does not take its renewals.
+        silent       ///< Does not answer this VM.
     };
     /// Another VM owns the fleet no more, by all appearances; this VM claims
     /// where the store serves it.
@@ -130,6 +140,10 @@
     void fold(const store_record& record);
     void set_owner(std::optional<owner_view> owner, std::string_view nonce);
     void consider_claim();
+    void check_quiet();
+    /// How long to wait for news before the owner's silence matters.
+    [[nodiscard]] milliseconds wait_for_news() const;
+    [[nodiscard]] milliseconds patience() const;
     [[nodiscard]] bool may_claim() const;
     [[nodiscard]] bool owner_is_weak() const;
     [[nodiscard]] ownership_record
@@ -157,6 +171,9 @@
     std::string nonce_;
     bool appending_ = false;
     bool claim_planned_ = false;
+    /// The owner does not answer this VM; zero: none.
+    std::uint64_t silent_token_ = 0;
+    bool quiet_told_ = false; ///< In the present silence.
     bool renewal_failed_ = false;
     bool retired_ = false;
     instant no_claim_until_{};
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -633,3 +633,45 @@
     REQUIRE(world.owner() != nullptr);
     CHECK(world.owner()->token() > token);
 }
+
+TEST_CASE("silence is acted on when it is due, not at the next read")
+{
+    for (const milliseconds phase : {0ms, 130ms, 260ms, 390ms})
+    {
+        fleet_world world;
+        world.run(1s + phase);
+        REQUIRE(world.owner_vm() != nullptr);
+        world.owner_vm()->kill();
+        world.run(1'850ms);
+        CHECK(world.owner() != nullptr);
+    }
+}
+
+TEST_CASE("an owner that answers no VM either is replaced sooner")
+{
+    for (const milliseconds phase : {0ms, 130ms, 260ms, 390ms})
+    {
+        fleet_world world;
+        world.peers_tell = true;
+        world.run(1s + phase);
+        REQUIRE(world.owner_vm() != nullptr);
+        world.owner_vm()->kill();
+        world.run(1'200ms);
+        CHECK(world.owner() != nullptr);
+    }
+}
+
+TEST_CASE("an owner whose renewals are late keeps the fleet if it answers")
+{
+    fleet_world world;
+    world.peers_tell = true;
+    world.run(1s);
+    REQUIRE(world.owner() != nullptr);
+    const std::uint64_t token = world.owner()->token();
+    world.owner_vm()->link.turned_away = true;
+    world.run(1'200ms);
+    world.owner_vm()->link.turned_away = false;
+    world.run(1s);
+    REQUIRE(world.owner() != nullptr);
+    CHECK(world.owner()->token() == token);
+}
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -341,6 +341,20 @@
     owner->start();
 }
 
+void fleet_world::vm::on_owner_quiet()
+{
+    const auto& quiet = leaders->owner();
+    const bool answers = std::any_of(
+        world_.vms.begin(),
+        world_.vms.end(),
+        [&](const auto& each)
+        { return each->name == quiet->vm && each->owner != nullptr; });
+    if (!answers && world_.peers_tell)
+    {
+        leaders->suspect(quiet->token, fleet::leadership::doubt::silent);
+    }
+}
+
 void fleet_world::vm::on_lost()
 {
     world_.clock.after(
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -64,6 +64,8 @@
     no_events events;
     std::vector<std::unique_ptr<vm>> vms;
     std::map<fleet::step_id, fleet::step_spec> specs;
+    /// VMs ask a quiet owner directly; a killed one does not answer.
+    bool peers_tell = false;
 
     /// A queue `work` of the service `svc`, two attempts, no advice.
     [[nodiscard]] static fleet::configuration plain_config();
@@ -118,6 +120,7 @@
 private:
     void on_gained(std::uint64_t token) override;
     void on_lost() override;
+    void on_owner_quiet() override;
 
     fleet_world& world_;
     plain_records records_;
