A new owner waits for silent workers with their own tasks alone

Change: the owner notes in the store, with its progress, each worker that it has lost sight of and the runs that may be there at most, and starts nothing on it until the store has taken the note back. A successor adopts these runs as uncertain, waits for the lease with their tasks alone, and asks such a worker at the noted address, so runs on workers that are cut off from the store go on. This replaces the book of departures.

--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -89,6 +89,7 @@
     jobs_.open_due(ports_.clock.wall(), now);
     check_lapsed();
     check_company();
+    note_absences();
     if (!handing_over_)
     {
         const plan decided = planner_.decide(
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -2,8 +2,8 @@
 
 #include "domain/event_sink.hpp"
 #include "domain/metric_sink.hpp"
+#include "fleet/absence_book.hpp"
 #include "fleet/advice_board.hpp"
-#include "fleet/departure_book.hpp"
 #include "fleet/job_book.hpp"
 #include "fleet/planner.hpp"
 #include "fleet/ports.hpp"
@@ -31,6 +31,9 @@
 /// dropped workers: some 10 s of 350 workers, within one answer of the store.
 inline constexpr log_offset registry_history = 2'500;
 
+/// Stands for workers that may exist and are not known; never sealed.
+inline constexpr const char* unknown_worker = "?";
+
 struct owner_settings
 {
     instance_id vm; ///< This one.
@@ -158,9 +161,17 @@
     void load_registry();
     void take_registration(const store_record& record);
     void poll_registry();
-    void take_departure(const worker_id& worker, const store_record& record);
-    /// Finds workers that the registry dropped and that run nothing.
-    void note_departures();
+    // Workers out of sight.
+    void take_absence(const worker_id& id, const store_record& record);
+    /// Takes in what predecessors noted of workers that they had lost sight of.
+    void meet_absent();
+    void meet_absent_run(
+        worker_entry& worker, const task_ref& task, run_number number);
+    /// Notes workers that are out of sight, takes back notes of others.
+    void note_absences();
+    /// Forgets workers whose drop has left the registry's history.
+    void forget_absences();
+
     /// Takes in the newest entries where the history between was dropped.
     void reload_registry();
     void tail_jobs();
@@ -270,7 +281,7 @@
     std::set<worker_id> unheard_; ///< Listed at the start and not sealed.
     /// Dropped from the registry before this owner loaded it, and when.
     std::map<worker_id, log_offset> lapsed_;
-    departure_book departures_;
+    absence_book absences_;
     /// Workers that list runs of a job whose record is not read.
     std::map<job_id, std::set<worker_id>> unread_;
 
--- /dev/null
+++ b/src/fleet/owner_absences.cpp
@@ -0,0 +1,134 @@
+#include "fleet/owner.hpp"
+
+namespace acaciastile::fleet
+{
+
+void fleet_owner::take_absence(const worker_id& id, const store_record& record)
+{
+    auto absence = decode_absence_record(record.value);
+    if (!absence)
+    {
+        ports_.events.emit(
+            {event_number::record_unreadable,
+             {{"topic", topics::progress}, {"worker", id.str()}}});
+        return;
+    }
+    absences_.restore(id, *std::move(absence));
+}
+
+void fleet_owner::meet_absent()
+{
+    const auto noted = absences_.all();
+    for (const auto& [id, absence] : noted)
+    {
+        worker_entry* worker = workers_.find(id);
+        if (worker != nullptr &&
+            worker->about.incarnation > absence.incarnation)
+        {
+            absences_.withdraw(id); // What ran there ended with that life.
+            continue;
+        }
+        if (worker == nullptr && absence.runs.empty())
+        {
+            lapsed_.emplace(id, registry_next_);
+            continue;
+        }
+        if (worker == nullptr)
+        {
+            worker = &workers_.add_unlisted(
+                {id, absence.address, absence.incarnation}, registry_next_);
+        }
+        worker->reachable = false;
+        worker->lapsed_at = inherited_after_;
+        for (const auto& [task, number] : absence.runs)
+        {
+            meet_absent_run(*worker, task, number);
+        }
+    }
+}
+
+void fleet_owner::meet_absent_run(
+    worker_entry& worker, const task_ref& task, run_number number)
+{
+    const job_entry* job = jobs_.find(task.step.job);
+    if (job == nullptr || !jobs_.adopt_run(task, number, worker.about.id, {}))
+    {
+        return; // Its job has ended, or the task is done.
+    }
+    run_entry run;
+    run.task = task;
+    run.run = number;
+    run.state = run_entry::phase::uncertain;
+    run.started = ports_.clock.now();
+    run.confirmed = run.started;
+    run.needs = room_of(job->spec(task.step));
+    run.account = job->job.account;
+    workers_.add_run(worker, std::move(run));
+}
+
+void fleet_owner::note_absences()
+{
+    for (const auto& [id, worker] : workers_.all())
+    {
+        const bool in_sight =
+            worker->listed && worker->reachable && worker->sealed;
+        // What runs there is known once the worker has told, or where a
+        // predecessor has noted it.
+        const bool known = worker->sealed || inherited_may_start() ||
+                           absences_.find(id) != nullptr;
+        if (in_sight)
+        {
+            absences_.withdraw(id);
+        }
+        else if (known && (!worker->listed || !worker->reachable))
+        {
+            absence_record absence;
+            absence.incarnation = worker->about.incarnation;
+            absence.address = worker->about.address;
+            for (const auto& [task, run] : worker->runs)
+            {
+                absence.runs.emplace_back(task, run.run);
+            }
+            absences_.note(id, absence);
+        }
+        worker->noted_absent = absences_.is_noted(id);
+    }
+    if (!inherited_may_start())
+    {
+        return;
+    }
+    for (const auto& [id, dropped_at] : lapsed_)
+    {
+        // Any lease of a predecessor there has ended.
+        if (workers_.find(id) == nullptr && id != worker_id(unknown_worker))
+        {
+            absences_.note(id, {});
+        }
+    }
+}
+
+void fleet_owner::forget_absences()
+{
+    const auto is_past = [&](log_offset dropped_at)
+    { return dropped_at + registry_history < registry_next_; };
+    std::erase_if(
+        lapsed_,
+        [&](const auto& each)
+        {
+            if (!is_past(each.second))
+            {
+                return false;
+            }
+            if (workers_.find(each.first) == nullptr)
+            {
+                absences_.withdraw(each.first);
+            }
+            return true;
+        });
+    for (const worker_id& id : workers_.forget_unlisted(is_past))
+    {
+        absences_.withdraw(id);
+    }
+}
+
+} // namespace acaciastile::fleet
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-/// Stands for workers that may exist and are not known; never sealed.
-constexpr const char* unknown_worker = "?";
-
 /// Workers whose entries were dropped without a word that they leave, and at
 /// which offset. They may live and run what an earlier owner started.
 using lapsed_workers = std::map<worker_id, log_offset>;
@@ -145,9 +142,9 @@
                 }
                 for (const store_record& record : page->records)
                 {
-                    if (const auto gone = departure_book::worker_of(record.key))
+                    if (const auto away = absence_book::worker_of(record.key))
                     {
-                        self.take_departure(*gone, record);
+                        self.take_absence(*away, record);
                         continue;
                     }
                     const auto progress = decode_job_progress(record.value);
@@ -184,9 +181,13 @@
                 {
                     self.take_registration(record);
                 }
+                self.meet_absent();
                 for (const auto& [id, worker] : self.workers_.all())
                 {
-                    self.unheard_.insert(id);
+                    if (self.absences_.find(id) == nullptr)
+                    {
+                        self.unheard_.insert(id);
+                    }
                 }
                 find_lapsed(
                     self.ports_.store,
@@ -196,15 +197,13 @@
                     self.guarded(
                         [](fleet_owner& begun, const lapsed_workers& lapsed)
                         {
-                            std::size_t unsettled = 0;
                             for (const auto& [id, dropped_at] : lapsed)
                             {
-                                if (!begun.departures_.covers(id, dropped_at))
+                                if (begun.absences_.find(id) == nullptr)
                                 {
                                     begun.unheard_.insert(id);
-                                    begun.lapsed_.emplace(id, dropped_at);
-                                    ++unsettled;
                                 }
+                                begun.lapsed_.emplace(id, dropped_at);
                             }
                             begun.loaded_ = true;
                             begun.ports_.events.emit(
@@ -216,7 +215,11 @@
                                    std::to_string(begun.jobs_.open().size())},
                                   {"workers",
                                    std::to_string(begun.workers_.all().size())},
-                                  {"lapsed", std::to_string(unsettled)}}});
+                                  {"unheard",
+                                   std::to_string(begun.unheard_.size())},
+                                  {"absent",
+                                   std::to_string(
+                                       begun.absences_.all().size())}}});
                             begun.tail_jobs();
                             begun.later(
                                 begun.settings_.clean_up,
@@ -454,44 +457,6 @@
             }));
 }
 
-void fleet_owner::take_departure(
-    const worker_id& worker, const store_record& record)
-{
-    const auto departure = decode_departure_record(record.value);
-    if (!departure)
-    {
-        ports_.events.emit(
-            {event_number::record_unreadable,
-             {{"topic", topics::progress}, {"worker", worker.str()}}});
-        return;
-    }
-    departures_.restore(worker, departure->dropped_at);
-}
-
-void fleet_owner::note_departures()
-{
-    for (const auto& [id, worker] : workers_.all())
-    {
-        if (!worker->listed && worker->runs.empty() &&
-            (worker->sealed || inherited_may_start()))
-        {
-            departures_.note(id, worker->dropped_at);
-        }
-    }
-    if (!lapsed_.empty() && inherited_may_start())
-    {
-        for (const auto& [id, dropped_at] : lapsed_)
-        {
-            const worker_entry* worker = workers_.find(id);
-            if (worker == nullptr && id != worker_id(unknown_worker))
-            {
-                departures_.note(id, dropped_at);
-            }
-        }
-        lapsed_.clear();
-    }
-}
-
 bool fleet_owner::inherited_may_start()
 {
     if (inherited_cleared_)
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -48,8 +48,7 @@
                 {id, worker->about.incarnation, worker->processed});
         }
     }
-    note_departures();
-    for (store_record& record : departures_.take_news())
+    for (store_record& record : absences_.take_news())
     {
         batch->records.push_back(std::move(record));
     }
@@ -86,6 +85,7 @@
                             {event_number::store_regained,
                              {{"topic", topics::progress}}});
                     }
+                    self.absences_.confirm();
                     self.on_stored(batch);
                     self.wake();
                     return;
@@ -167,12 +167,7 @@
     {
         dropped.push_back({0, id.str(), {}});
     }
-    const log_offset horizon =
-        registry_next_ - std::min(registry_next_, registry_history);
-    for (store_record& record : departures_.forget_before(horizon))
-    {
-        dropped.push_back(std::move(record));
-    }
+    forget_absences();
     if (!dropped.empty())
     {
         // A record that stays is dropped again by the next owner.
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -245,17 +245,42 @@
         });
 }
 
-std::string encode(const departure_record& record)
+std::string encode(const absence_record& record)
 {
-    return to_msgpack_text(json::array({record.dropped_at}));
+    json runs = json::array();
+    for (const auto& [task, run] : record.runs)
+    {
+        runs.push_back(json::array(
+            {task.step.job.str(),
+             task.step.occurrence,
+             task.step.step,
+             task.index,
+             run}));
+    }
+    return to_msgpack_text(
+        json::array({record.incarnation, record.address, std::move(runs)}));
 }
 
-result<departure_record> decode_departure_record(std::string_view text)
+result<absence_record> decode_absence_record(std::string_view text)
 {
-    return decode_msgpack<departure_record>(
+    return decode_msgpack<absence_record>(
         text,
         [](const json& value)
-        { return departure_record{value.at(0).get<log_offset>()}; });
+        {
+            absence_record record;
+            record.incarnation = value.at(0).get<std::uint64_t>();
+            record.address = value.at(1).get<std::string>();
+            for (const json& run : value.at(2))
+            {
+                task_ref task;
+                task.step.job = job_id(run.at(0).get<std::string>());
+                task.step.occurrence = run.at(1).get<std::uint32_t>();
+                task.step.step = run.at(2).get<std::uint32_t>();
+                task.index = run.at(3).get<std::uint32_t>();
+                record.runs.emplace_back(task, run.at(4).get<run_number>());
+            }
+            return record;
+        });
 }
 
 std::string encode(const ownership_record& record)
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -35,10 +35,14 @@
     [[nodiscard]] bool operator==(const job_progress&) const = default;
 };
 
-/// A worker that the registry dropped and on which nothing runs.
-struct departure_record
+/// What may run on a worker that its owner has lost sight of.
+struct absence_record
 {
-    log_offset dropped_at = 0; ///< Offset in the registry.
+    std::uint64_t incarnation = 0;
+    std::string address;
+    std::vector<std::pair<task_ref, run_number>> runs;
+
+    [[nodiscard]] bool operator==(const absence_record&) const = default;
 };
 
 /// Who owns the fleet, as told in the topic of ownership.
@@ -69,9 +73,9 @@
 [[nodiscard]] std::string encode(const job_progress& progress);
 [[nodiscard]] result<job_progress> decode_job_progress(std::string_view text);
 
-[[nodiscard]] std::string encode(const departure_record& record);
-[[nodiscard]] result<departure_record>
-decode_departure_record(std::string_view text);
+[[nodiscard]] std::string encode(const absence_record& record);
+[[nodiscard]] result<absence_record>
+decode_absence_record(std::string_view text);
 
 [[nodiscard]] std::string encode(const ownership_record& record);
 [[nodiscard]] result<ownership_record>
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -47,10 +47,44 @@
     }
 }
 
+worker_entry&
+worker_table::add_unlisted(const worker_address& address, log_offset dropped_at)
+{
+    auto& entry = workers_[address.id];
+    entry = std::make_unique<worker_entry>();
+    entry->about.id = address.id;
+    entry->about.address = address.address;
+    entry->about.incarnation = address.incarnation;
+    entry->listed = false;
+    entry->dropped_at = dropped_at;
+    return *entry;
+}
+
+std::vector<worker_id>
+worker_table::forget_unlisted(const std::function<bool(log_offset)>& is_past)
+{
+    std::vector<worker_id> forgotten;
+    std::erase_if(
+        workers_,
+        [&](const auto& each)
+        {
+            const worker_entry& worker = *each.second;
+            if (worker.listed || !worker.runs.empty() ||
+                worker.hold_in_flight || !is_past(worker.dropped_at))
+            {
+                return false;
+            }
+            forgotten.push_back(each.first);
+            return true;
+        });
+    return forgotten;
+}
+
 bool worker_table::is_usable(const worker_entry& worker, instant now) const
 {
     return worker.listed && worker.sealed && worker.reachable &&
-           !worker.about.draining && worker.quarantined_until <= now;
+           !worker.noted_absent && !worker.about.draining &&
+           worker.quarantined_until <= now;
 }
 
 worker_instant worker_table::extend_lease(worker_entry& worker, instant now)
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -3,6 +3,7 @@
 #include "fleet/ports.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,6 +51,9 @@
     bool listed = true; ///< In the registry.
     /// Offset in the registry at which it was dropped; where it is not listed.
     log_offset dropped_at = 0;
+    /// The store has a note of what may run there at most; nothing is started
+    /// until that is taken back.
+    bool noted_absent = false;
     bool sealed = false;   ///< Has seen this owner's token.
     bool reachable = true; ///< The last call was answered.
     resources used;
@@ -111,6 +115,15 @@
     /// Marks a worker as dropped from the registry at that offset.
     void unlist(const worker_id& id, log_offset dropped_at);
 
+    /// Adds a worker that is known from a predecessor's note alone.
+    worker_entry&
+    add_unlisted(const worker_address& address, log_offset dropped_at);
+
+    /// Drops unlisted workers on which nothing runs and whose drop from the
+    /// registry is past; gives their ids.
+    [[nodiscard]] std::vector<worker_id>
+    forget_unlisted(const std::function<bool(log_offset)>& is_past);
+
     /// True where new work may be started there.
     [[nodiscard]] bool is_usable(const worker_entry& worker, instant now) const;
 
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -675,3 +675,63 @@
     REQUIRE(world.owner() != nullptr);
     CHECK(world.owner()->token() == token);
 }
+
+TEST_CASE(
+    "a successor waits for a silent worker with the tasks there alone",
+    "[fleet]")
+{
+    fleet_world world(2, 4);
+    world.workers.behaviour = [](const fleet::task_ref& task)
+    {
+        return standin::task_behaviour{
+            task.step.job == job_id("b") ? 500ms : 20s, false};
+    };
+    world.submit("a", {tasks(64)});
+    world.run(500ms);
+    // More work than room, so that jobs wait while the owner is replaced.
+    world.submit("c", {tasks(1)});
+    world.workers.faults_of(worker_id("w0")).silent = true;
+    world.run(2s);
+    world.submit("b", {tasks(4)});
+    world.run(100ms);
+    world.owner_vm()->kill();
+    world.add_worker("w9");
+    CHECK(world.run_until("b", job_state::completed, 4s));
+    world.run(30s);
+    CHECK(world.broken_promises().empty());
+}
+
+TEST_CASE("a worker that comes back gets work once its note is taken back")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{500ms, false};
+    };
+    world.submit("a", {tasks(1)});
+    CHECK(world.run_until("a", job_state::completed, 3s));
+    world.submit("b", {tasks(1)});
+    world.run(100ms);
+    world.workers.faults_of(worker_id("w0")).silent = true;
+    world.run(8s);
+    CHECK_FALSE(world.store.newest(fleet::topics::progress, "away/w0").empty());
+    world.workers.faults_of(worker_id("w0")).silent = false;
+    CHECK(world.run_until("b", job_state::completed, 3s));
+    CHECK(world.store.newest(fleet::topics::progress, "away/w0").empty());
+    CHECK(world.broken_promises().empty());
+}
+
+TEST_CASE("runs on a worker cut off from the store survive a new owner")
+{
+    fleet_world world(2, 2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{9s, false};
+    };
+    world.submit("a", {tasks(20)});
+    world.run(1s);
+    world.store.put("registry", "w0", ""); // Its heartbeats do not arrive.
+    world.run(1s);
+    world.owner_vm()->kill();
+    CHECK(world.run_until("a", job_state::completed, 12s));
+    CHECK(world.workers.events().size() == 2 * 20);
+    CHECK(world.broken_promises().empty());
+}
