A new owner knows which jobs are beyond their account's rate

Change: that a job is beyond its account's rate is stored with its progress, and jobs without progress are counted by the times of their acceptance.

--- a/src/fleet/absence_book.cpp
+++ b/src/fleet/absence_book.cpp
@@ -50,17 +50,18 @@
     noted_[worker] = std::move(absence);
 }
 
-void absence_book::note(const worker_id& worker, const absence_record& absence)
+bool absence_book::note(const worker_id& worker, const absence_record& absence)
 {
     const absence_record* noted = find(worker);
     // A note that says too much is safe; it is renewed once nothing runs.
     if (noted != nullptr && covers(*noted, absence) &&
         noted->runs.empty() == absence.runs.empty())
     {
-        return;
+        return false;
     }
     noted_[worker] = absence;
     news_[worker] = absence;
+    return true;
 }
 
 void absence_book::withdraw(const worker_id& worker)
--- a/src/fleet/absence_book.hpp
+++ b/src/fleet/absence_book.hpp
@@ -27,8 +27,8 @@
     /// Takes in what is stored already.
     void restore(const worker_id& worker, absence_record absence);
 
-    /// Notes what may run on a worker; does nothing where that is noted.
-    void note(const worker_id& worker, const absence_record& absence);
+    /// Notes what may run on a worker; false where that is noted already.
+    bool note(const worker_id& worker, const absence_record& absence);
     /// The worker is in sight again.
     void withdraw(const worker_id& worker);
 
--- a/src/fleet/job_book.cpp
+++ b/src/fleet/job_book.cpp
@@ -120,6 +120,7 @@
     job->state = progress.state;
     job->shown = progress.state;
     job->ended = progress.ended;
+    job->excess = progress.excess;
     if (job->is_final())
     {
         close(*job);
@@ -398,6 +399,7 @@
     job_progress progress;
     progress.state = job.state;
     progress.ended = job.ended;
+    progress.excess = job.excess;
     if (job.is_final())
     {
         return progress; // Nothing of it starts again.
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -181,6 +181,10 @@
     void read_jobs_now(std::function<void(const result<void>&)> done);
     void take_jobs(const store_page& page);
     void add_job(accepted_job job, bool inherited);
+    /// Counts a job against its account's rate at that instant.
+    void count_rate(job_entry& job, instant at);
+    /// Counts jobs that were handed in before this owner's time.
+    void count_inherited_rates();
     void cancel_known(job_entry& job, completion<bool> done);
     [[nodiscard]] bool inherited_may_start();
 
--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -89,7 +89,14 @@
             {
                 absence.runs.emplace_back(task, run.run);
             }
-            absences_.note(id, absence);
+            if (absences_.note(id, absence))
+            {
+                ports_.events.emit(
+                    {event_number::worker_noted,
+                     {{"worker", id.str()},
+                      {"runs", std::to_string(absence.runs.size())},
+                      {"listed", worker->listed ? "yes" : "no"}}});
+            }
         }
         worker->noted_absent = absences_.is_noted(id);
     }
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -158,6 +158,7 @@
                     }
                     self.jobs_.restore(job_id(record.key), *progress);
                 }
+                self.count_inherited_rates();
                 self.load_registry();
             }));
 }
@@ -267,9 +268,44 @@
     {
         return;
     }
-    const account_settings* account = ports_.config().find(added->job.account);
-    added->excess = account != nullptr &&
-                    !rates_.take(added->job.account, account->weight, now);
+    count_rate(*added, now);
+}
+
+void fleet_owner::count_rate(job_entry& job, instant at)
+{
+    const account_settings* account = ports_.config().find(job.job.account);
+    if (account == nullptr || rates_.take(job.job.account, account->weight, at))
+    {
+        return;
+    }
+    job.excess = true;
+    jobs_.mark_changed(job); // A successor has to know.
+    ports_.events.emit(
+        {event_number::job_over_rate,
+         {{"job", job.job.id.str()},
+          {"account", job.job.account.str()},
+          {"weight", std::to_string(account->weight)}}});
+}
+
+void fleet_owner::count_inherited_rates()
+{
+    std::vector<job_entry*> counted;
+    for (job_entry* job : jobs_.open())
+    {
+        if (!job->excess)
+        {
+            counted.push_back(job);
+        }
+    }
+    std::sort(
+        counted.begin(),
+        counted.end(),
+        [](const job_entry* left, const job_entry* right)
+        { return left->known_since < right->known_since; });
+    for (job_entry* job : counted)
+    {
+        count_rate(*job, job->known_since);
+    }
 }
 
 void fleet_owner::accept(accepted_job job)
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -220,7 +220,8 @@
     return to_msgpack_text(json::array(
         {static_cast<int>(progress.state),
          progress.ended.time_since_epoch().count(),
-         std::move(occurrences)}));
+         std::move(occurrences),
+         progress.excess}));
 }
 
 result<job_progress> decode_job_progress(std::string_view text)
@@ -233,6 +234,7 @@
             progress.state = static_cast<job_state>(value.at(0).get<int>());
             progress.ended =
                 wall_time(milliseconds(value.at(1).get<milliseconds::rep>()));
+            progress.excess = value.at(3).get<bool>();
             for (const json& occurrence : value.at(2))
             {
                 auto& steps = progress.steps.emplace_back();
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -28,7 +28,8 @@
 struct job_progress
 {
     job_state state = job_state::queued;
-    wall_time ended{}; ///< Where the state is final.
+    wall_time ended{};   ///< Where the state is final.
+    bool excess = false; ///< Its account was over its rate.
     /// By occurrence, then by step.
     std::vector<std::vector<step_progress>> steps;
 
--- a/tests/fleet/heavy_load_test.cpp
+++ b/tests/fleet/heavy_load_test.cpp
@@ -1,6 +1,7 @@
 #include "support/fleet_world.hpp"
 
 #include <catch2/catch.hpp>
+#include <functional>
 
 using namespace acaciastile;
 using namespace acaciastile::test;
@@ -44,7 +45,10 @@
 
 /// Submits one-task jobs of 4 cores for each sender and follows them.
 void run_load(
-    fleet_world& world, std::vector<sender>& senders, milliseconds length)
+    fleet_world& world,
+    std::vector<sender>& senders,
+    milliseconds length,
+    const std::function<void(milliseconds)>& meanwhile = [](milliseconds) {})
 {
     constexpr milliseconds objective{4'500};
     constexpr milliseconds step{20};
@@ -62,6 +66,7 @@
                 open[id] = {&each, at};
             }
         }
+        meanwhile(at);
         world.run(step);
         std::erase_if(
             open,
@@ -96,6 +101,31 @@
     CHECK(senders[0].seen.in_time >= 4 * 11);
 }
 
+TEST_CASE("pattern: the owner changes while one account floods", "[load]")
+{
+    fleet_world world(2, 2);
+    world.peers_tell = true;
+    world.config = two_accounts(4.0, 4.0);
+    world.settings.jobs_pause = 20ms;
+    world.run(500ms);
+    std::vector<sender> senders{
+        {"first", 40ms, {}},    // 25 a second against its 4.
+        {"second", 280ms, {}}}; // 3.6 a second, within its 4.
+    run_load(
+        world,
+        senders,
+        12s,
+        [&](milliseconds at)
+        {
+            if (at == 6s)
+            {
+                world.owner_vm()->kill();
+            }
+        });
+    INFO(senders[1].seen.in_time << " of " << senders[1].seen.sent);
+    CHECK(senders[1].seen.in_time >= senders[1].seen.sent * 95 / 100);
+}
+
 TEST_CASE("pattern: more work than room for a while", "[load]")
 {
     fleet_world world(1, 2);
