A new owner reads jobs, workers and progress at once

Change: jobs and registry are read while the fence is under way, as what is stored later comes with their tails; a worker that registers after the load counts as unheard until it is sealed.

--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -61,7 +61,7 @@
     // A predecessor may extend leases until a worker that this owner sealed
     // refuses it, which its next call for lists brings about.
     inherited_after_ = ports_.clock.now() + longest + settings_.hold_wait;
-    fence();
+    load();
 }
 
 void fleet_owner::wake()
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -150,15 +150,20 @@
 
 private:
     struct flush_batch;
+    struct loading;
 
     fleet_owner(
         owner_settings settings, owner_ports ports, std::uint64_t token);
 
     // Loading.
+    void load();
     void fence();
-    void load_jobs();
-    void load_progress();
-    void load_registry();
+    void load_newest(
+        const std::string& topic, std::optional<store_page> loading::*into);
+    void load_lapsed(log_offset end);
+    /// Takes all in once every part is there.
+    void finish_loading();
+    void take_progress(const store_record& record);
     void take_registration(const store_record& record);
     void poll_registry();
     // Workers out of sight.
@@ -277,6 +282,7 @@
     advice_board board_;
     account_rates rates_;
 
+    std::shared_ptr<loading> loading_; ///< Until all is loaded.
     bool loaded_ = false;
     bool ended_ = false;
     bool handing_over_ = false;
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -77,6 +77,25 @@
 
 } // namespace
 
+/// What a new owner reads; all parts are asked for at once.
+struct fleet_owner::loading
+{
+    std::optional<store_page> jobs;
+    std::optional<store_page> progress;
+    std::optional<store_page> registry;
+    std::optional<lapsed_workers> lapsed;
+};
+
+void fleet_owner::load()
+{
+    loading_ = std::make_shared<loading>();
+    fence();
+    // Jobs stored later come with the tail of their topic, so these pages may
+    // be older than the fence.
+    load_newest(topics::jobs, &loading::jobs);
+    load_newest(ports_.foreign.registry_topic(), &loading::registry);
+}
+
 void fleet_owner::fence()
 {
     append_options options;
@@ -91,7 +110,7 @@
                 if (stored)
                 {
                     ++self.sequence_;
-                    self.load_jobs();
+                    self.load_newest(topics::progress, &loading::progress);
                     return;
                 }
                 if (stored.error().code == refusal_code::stale_epoch)
@@ -104,133 +123,116 @@
             }));
 }
 
-void fleet_owner::load_jobs()
+void fleet_owner::load_newest(
+    const std::string& topic, std::optional<store_page> loading::*into)
 {
     ports_.store.read_newest(
-        topics::jobs,
+        topic,
         guarded(
-            [](fleet_owner& self, const result<store_page>& page)
+            [topic, into](fleet_owner& self, const result<store_page>& page)
             {
                 if (!page)
                 {
-                    self.later(
-                        self.settings_.store_retry, &fleet_owner::load_jobs);
+                    self.ports_.clock.after(
+                        self.settings_.store_retry,
+                        self.guarded([topic, into](fleet_owner& again)
+                                     { again.load_newest(topic, into); }));
                     return;
                 }
-                self.jobs_next_ = page->end;
-                for (const store_record& record : page->records)
+                (*self.loading_).*into = *page;
+                if (into == &loading::registry)
                 {
-                    self.take_job(record, true);
+                    self.load_lapsed(page->end);
                 }
-                self.load_progress();
+                self.finish_loading();
             }));
 }
 
-void fleet_owner::load_progress()
+void fleet_owner::load_lapsed(log_offset end)
 {
-    ports_.store.read_newest(
-        topics::progress,
+    find_lapsed(
+        ports_.store,
+        ports_.foreign,
+        end - std::min(end, registry_history),
+        end,
         guarded(
-            [](fleet_owner& self, const result<store_page>& page)
+            [](fleet_owner& self, const lapsed_workers& lapsed)
             {
-                if (!page)
-                {
-                    self.later(
-                        self.settings_.store_retry,
-                        &fleet_owner::load_progress);
-                    return;
-                }
-                for (const store_record& record : page->records)
-                {
-                    if (const auto away = absence_book::worker_of(record.key))
-                    {
-                        self.take_absence(*away, record);
-                        continue;
-                    }
-                    const auto progress = decode_job_progress(record.value);
-                    if (!progress)
-                    {
-                        self.ports_.events.emit(
-                            {event_number::record_unreadable,
-                             {{"topic", topics::progress},
-                              {"job", record.key}}});
-                        continue;
-                    }
-                    self.jobs_.restore(job_id(record.key), *progress);
-                }
-                self.count_inherited_rates();
-                self.load_registry();
+                self.loading_->lapsed = lapsed;
+                self.finish_loading();
             }));
 }
 
-void fleet_owner::load_registry()
+void fleet_owner::finish_loading()
 {
-    ports_.store.read_newest(
-        ports_.foreign.registry_topic(),
-        guarded(
-            [](fleet_owner& self, const result<store_page>& page)
-            {
-                if (!page)
-                {
-                    self.later(
-                        self.settings_.store_retry,
-                        &fleet_owner::load_registry);
-                    return;
-                }
-                self.registry_next_ = page->end;
-                for (const store_record& record : page->records)
-                {
-                    self.take_registration(record);
-                }
-                self.meet_absent();
-                for (const auto& [id, worker] : self.workers_.all())
-                {
-                    if (self.absences_.find(id) == nullptr)
-                    {
-                        self.unheard_.insert(id);
-                    }
-                }
-                find_lapsed(
-                    self.ports_.store,
-                    self.ports_.foreign,
-                    page->end - std::min(page->end, registry_history),
-                    page->end,
-                    self.guarded(
-                        [](fleet_owner& begun, const lapsed_workers& lapsed)
-                        {
-                            for (const auto& [id, dropped_at] : lapsed)
-                            {
-                                if (begun.absences_.find(id) == nullptr)
-                                {
-                                    begun.unheard_.insert(id);
-                                }
-                                begun.lapsed_.emplace(id, dropped_at);
-                            }
-                            begun.loaded_ = true;
-                            begun.ports_.events.emit(
-                                {event_number::fleet_loaded,
-                                 {{"fence", std::to_string(begun.token_)},
-                                  {"jobs",
-                                   std::to_string(begun.jobs_.all().size())},
-                                  {"open",
-                                   std::to_string(begun.jobs_.open().size())},
-                                  {"workers",
-                                   std::to_string(begun.workers_.all().size())},
-                                  {"unheard",
-                                   std::to_string(begun.unheard_.size())},
-                                  {"absent",
-                                   std::to_string(
-                                       begun.absences_.all().size())}}});
-                            begun.tail_jobs();
-                            begun.later(
-                                begun.settings_.clean_up,
-                                &fleet_owner::drop_ended);
-                            begun.later(
-                                begun.settings_.registry_poll,
-                                &fleet_owner::poll_registry);
-                            begun.wake();
-                        }));
-            }));
+    const std::shared_ptr<loading> read = loading_;
+    if (!read->jobs || !read->progress || !read->registry || !read->lapsed)
+    {
+        return;
+    }
+    loading_.reset();
+    jobs_next_ = read->jobs->end;
+    for (const store_record& record : read->jobs->records)
+    {
+        take_job(record, true);
+    }
+    for (const store_record& record : read->progress->records)
+    {
+        take_progress(record);
+    }
+    count_inherited_rates();
+    registry_next_ = read->registry->end;
+    for (const store_record& record : read->registry->records)
+    {
+        take_registration(record);
+    }
+    meet_absent();
+    for (const auto& [id, worker] : workers_.all())
+    {
+        if (absences_.find(id) == nullptr)
+        {
+            unheard_.insert(id);
+        }
+    }
+    for (const auto& [id, dropped_at] : *read->lapsed)
+    {
+        if (absences_.find(id) == nullptr)
+        {
+            unheard_.insert(id);
+        }
+        lapsed_.emplace(id, dropped_at);
+    }
+    loaded_ = true;
+    ports_.events.emit(
+        {event_number::fleet_loaded,
+         {{"fence", std::to_string(token_)},
+          {"jobs", std::to_string(jobs_.all().size())},
+          {"open", std::to_string(jobs_.open().size())},
+          {"workers", std::to_string(workers_.all().size())},
+          {"unheard", std::to_string(unheard_.size())},
+          {"absent", std::to_string(absences_.all().size())}}});
+    tail_jobs();
+    later(settings_.clean_up, &fleet_owner::drop_ended);
+    later(settings_.registry_poll, &fleet_owner::poll_registry);
+    wake();
+}
+
+void fleet_owner::take_progress(const store_record& record)
+{
+    if (const auto away = absence_book::worker_of(record.key))
+    {
+        take_absence(*away, record);
+        return;
+    }
+    const auto progress = decode_job_progress(record.value);
+    if (!progress)
+    {
+        ports_.events.emit(
+            {event_number::record_unreadable,
+             {{"topic", topics::progress}, {"job", record.key}}});
+        return;
+    }
+    jobs_.restore(job_id(record.key), *progress);
 }
 
 void fleet_owner::take_job(const store_record& record, bool inherited)
@@ -425,6 +427,11 @@
         worker_entry* worker = workers_.find(about->id);
         worker->sealed = false; // A new life has not seen the token.
         worker->next_hold = {};
+        if (loaded_ && before == nullptr && !inherited_may_start())
+        {
+            // A replaced owner may have started something there since.
+            unheard_.insert(about->id);
+        }
     }
     if (about->draining && !was_draining)
     {
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -735,3 +735,21 @@
     CHECK(world.workers.events().size() == 2 * 20);
     CHECK(world.broken_promises().empty());
 }
+
+TEST_CASE("a new owner loads within two answers of a slow store", "[fleet]")
+{
+    fleet_world world(2, 4);
+    world.run(1s);
+    world.submit("a", {tasks(4)});
+    world.run(100ms);
+    world.peers_tell = true;
+    world.owner_vm()->kill();
+    while (world.owner() == nullptr)
+    {
+        world.run(1ms);
+    }
+    world.store.latency = 240ms;
+    world.run(520ms);
+    REQUIRE(world.owner() != nullptr);
+    CHECK(world.owner()->loaded());
+}
