An owner that stops decides until its release is stored

It had to store all that it knew before it released the fleet, while new ends kept coming.

Change: the release is stored at once and tried again where it fails; the owner decides until then. What it did not store, the workers list again to its successor, as after a kill.

--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -458,20 +458,14 @@
     stop_begun_ = clock_->now();
     events_->emit({event_number::stop_asked, {}});
     advice_->stop();
-    auto released = [this]
-    {
-        handed_over_ = true;
-        owner_->set_local(nullptr);
-    };
-    if (owner_->local())
-    {
-        owner_->local()->hand_over([this, released]
-                                   { leaders_->release(released); });
-    }
-    else
-    {
-        leaders_->release(released);
-    }
+    // The owner decides until the release is stored; a successor learns from
+    // the workers what was not.
+    leaders_->release(
+        [this]
+        {
+            handed_over_ = true;
+            owner_->set_local(nullptr);
+        });
     finish_when_idle();
 }
 
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -448,7 +448,24 @@
     }
     append(
         record_of(ownership_record::kind::release, own_token_),
-        [done = std::move(done)](const result<log_offset>&) { done(); });
+        [this, done = std::move(done)](const result<log_offset>& stored)
+        {
+            if (stored)
+            {
+                done();
+                return;
+            }
+            // Whether it was stored is told by reading on.
+            clock_.after(
+                settings_.retry,
+                [weak = weak_from_this(), done]
+                {
+                    if (const auto self = weak.lock())
+                    {
+                        self->store_release(done);
+                    }
+                });
+        });
 }
 
 void leadership::step_down(std::string_view reason)
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -90,18 +90,15 @@
     check_lapsed();
     check_company();
     note_absences();
-    if (!handing_over_)
+    const plan decided = planner_.decide(
+        jobs_, workers_, ports_.config(), now, inherited_may_start());
+    for (const ask_decision& question : decided.asks)
     {
-        const plan decided = planner_.decide(
-            jobs_, workers_, ports_.config(), now, inherited_may_start());
-        for (const ask_decision& question : decided.asks)
-        {
-            board_.add(question);
-        }
-        for (const start_decision& decision : decided.starts)
-        {
-            execute(decision);
-        }
+        board_.add(question);
+    }
+    for (const start_decision& decision : decided.starts)
+    {
+        execute(decision);
     }
     turn_board();
     hold_workers();
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -142,9 +142,6 @@
         const std::optional<permits>& answer,
         milliseconds age);
 
-    /// Starts nothing more and stores what is known; then calls `done`.
-    void hand_over(std::function<void()> done);
-
     /// One line for the dump of a process's state.
     [[nodiscard]] std::string describe() const;
 
@@ -285,7 +282,6 @@
     std::shared_ptr<loading> loading_; ///< Until all is loaded.
     bool loaded_ = false;
     bool ended_ = false;
-    bool handing_over_ = false;
     instant inherited_after_{}; ///< All leases of predecessors have ended.
     bool inherited_cleared_ = false;
     std::set<worker_id> unheard_; ///< Listed at the start and not sealed.
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -176,25 +176,4 @@
     }
 }
 
-void fleet_owner::hand_over(std::function<void()> done)
-{
-    handing_over_ = true;
-    if (!loaded_ || (!flushing_ && !jobs_.has_changes()))
-    {
-        ended_ = true;
-        board_.close();
-        done();
-        return;
-    }
-    after_flush_.push_back(
-        [weak = weak_from_this(), done = std::move(done)]
-        {
-            if (const auto self = weak.lock())
-            {
-                self->hand_over(done);
-            }
-        });
-    wake();
-}
-
 } // namespace acaciastile::fleet
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -753,3 +753,38 @@
     REQUIRE(world.owner() != nullptr);
     CHECK(world.owner()->loaded());
 }
+
+TEST_CASE("an owner that stops while the store is slow leaves no long gap")
+{
+    fleet_world world(2, 4);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{300ms, false};
+    };
+    world.run(500ms);
+    world.store.latency = 240ms;
+    std::size_t sent = 0;
+    const auto run = [&](milliseconds span)
+    {
+        for (milliseconds at{0}; at < span; at += 20ms)
+        {
+            world.submit("job" + std::to_string(sent++), {tasks(1)});
+            world.run(20ms);
+        }
+    };
+    run(2s);
+    world.owner_vm()->stop();
+    run(6s);
+    instant before = world.clock.now() - 7s;
+    milliseconds longest{0};
+    for (const auto& each : world.workers.events())
+    {
+        if (each.what == standin::worker_event::kind::started &&
+            each.at > before)
+        {
+            longest = std::max(longest, each.at - before);
+            before = each.at;
+        }
+    }
+    CHECK(longest < 1'500ms);
+    CHECK(world.broken_promises().empty());
+}
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -322,6 +322,11 @@
     leaders->start();
 }
 
+void fleet_world::vm::stop()
+{
+    leaders->release([this] { owner.reset(); });
+}
+
 void fleet_world::vm::on_gained(std::uint64_t token)
 {
     fleet::owner_settings deciding = world_.settings;
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -110,6 +110,8 @@
     /// As after a kill: nothing of it is left; `start` begins a new process.
     void kill();
     void start();
+    /// As on a stop signal: leaves the fleet to another VM.
+    void stop();
 
     standin::memory_store::client link;
     std::shared_ptr<fleet::leadership> leaders;
