Questions to the policy: fewer for each step, the most useful first

With few workers free a question named these alone, so the next one was due as soon as another had room. Questions were ordered by their queue and grew old while they waited.

Change: a first question also names workers without room while that costs less than 0.4 of its base time. Only as many questions are put as VMs will take soon, in the order of work, and the rest is decided anew each round.

--- a/src/fleet/advice_board.cpp
+++ b/src/fleet/advice_board.cpp
@@ -40,6 +40,21 @@
         { return each.second + settings_.absent_after > now; }));
 }
 
+ask_room advice_board::room(instant now) const
+{
+    const auto lengthy = static_cast<std::size_t>(std::count_if(
+        waiting_.begin(),
+        waiting_.end(),
+        [&](const ask_decision& each) { return is_long(each); }));
+    const std::size_t brief = waiting_.size() - lengthy;
+    const std::size_t brief_ready =
+        std::max<std::size_t>(1, present(now)) * settings_.ready_per_vm;
+    return {
+        brief_ready - std::min(brief_ready, brief),
+        settings_.long_ready - std::min(settings_.long_ready, lengthy),
+        settings_.long_question};
+}
+
 std::vector<ask_decision> advice_board::turn(instant now)
 {
     std::vector<ask_decision> overdue;
--- a/src/fleet/advice_board.hpp
+++ b/src/fleet/advice_board.hpp
@@ -23,6 +23,11 @@
     milliseconds patience{900};
     /// A VM that has not come for work for this long is not counted.
     milliseconds absent_after{2'500};
+    /// Questions kept ready for each VM, beyond the one it works on: one answer
+    /// may come between two rounds of decisions.
+    std::size_t ready_per_vm = 1;
+    /// Long questions kept ready.
+    std::size_t long_ready = 2;
 };
 
 /// Hands questions for the policy service to the VMs that ask for work. The
@@ -56,6 +61,9 @@
     /// Earliest instant at which `turn` has something to do.
     [[nodiscard]] instant next_due() const;
 
+    /// Questions that may be added now so that no VM waits for one.
+    [[nodiscard]] ask_room room(instant now) const;
+
     [[nodiscard]] std::size_t waiting_questions() const noexcept
     {
         return waiting_.size();
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -91,7 +91,12 @@
     check_company();
     note_absences();
     const plan decided = planner_.decide(
-        jobs_, workers_, ports_.config(), now, inherited_may_start());
+        jobs_,
+        workers_,
+        ports_.config(),
+        now,
+        inherited_may_start(),
+        board_.room(now));
     for (const ask_decision& question : decided.asks)
     {
         board_.add(question);
@@ -221,6 +226,10 @@
     }
     board_.come(vm, now, now + wait, std::move(give));
     turn_board();
+    if (!jobs_.open().empty())
+    {
+        wake(); // Steps may wait for a question to be put.
+    }
 }
 
 void fleet_owner::take_answer(
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -40,6 +40,8 @@
 constexpr double far_from_data = 2.0;
 /// Added where the task failed on that worker last.
 constexpr double failed_there = 4.0;
+/// More than there are priorities of queues.
+constexpr std::uint32_t priorities = 1'000;
 
 } // namespace
 
@@ -81,6 +83,7 @@
     worker_table& workers;
     const configuration& config;
     instant now;
+    ask_room questions;
     plan decided;
     std::map<service_name, std::vector<worker_entry*>> usable;
     /// Workers kept free, and for whom.
@@ -102,9 +105,10 @@
     worker_table& workers,
     const configuration& config,
     instant now,
-    bool inherited_may_start)
+    bool inherited_may_start,
+    ask_room questions)
 {
-    round work{jobs, workers, config, now, {}, {}, {}};
+    round work{jobs, workers, config, now, questions, {}, {}, {}};
     for (const auto& [id, worker] : workers.all())
     {
         if (workers.is_usable(*worker, now))
@@ -568,9 +572,40 @@
     };
     consider(true);
     consider(false);
+    if (places < wanted && step.chance == prospect::in_time &&
+        permits.allowed.empty() && permits.denied.empty())
+    {
+        name_ahead(now, step, named);
+    }
     ask(now, step, std::move(named));
 }
 
+void planner::name_ahead(
+    round& now, const candidate& step, std::vector<worker_id>& named) const
+{
+    const advice_terms& terms = *step.queue->advice;
+    const double affordable =
+        terms.per_worker.count() <= 0
+            ? static_cast<double>(settings_.most_asked)
+            : settings_.ahead_share * (terms.base / terms.per_worker);
+    const auto most = std::min(
+        settings_.most_asked,
+        static_cast<std::size_t>(std::max(0.0, affordable)));
+    for (worker_entry* worker : now.usable[step.queue->service])
+    {
+        if (named.size() >= most)
+        {
+            return;
+        }
+        if (!step.room.fits_in(worker->room()) &&
+            step.room.fits_in(worker->about.capacity) &&
+            may_run(now, step, *worker, false))
+        {
+            named.push_back(worker->about.id);
+        }
+    }
+}
+
 void planner::ask_for_gang(
     round& now, candidate& step, const std::vector<worker_entry*>& places)
 {
@@ -611,15 +646,24 @@
     {
         return;
     }
-    step.step->permits.asking = true;
-    const auto expected =
+    const auto expected = std::chrono::ceil<milliseconds>(
         step.queue->advice->base +
-        step.queue->advice->per_worker * static_cast<double>(workers.size());
+        step.queue->advice->per_worker * static_cast<double>(workers.size()));
+    std::size_t& left = expected > now.questions.longest_brief
+                            ? now.questions.lengthy
+                            : now.questions.brief;
+    if (left == 0)
+    {
+        return; // Asked in a later round, if it is still worth it.
+    }
+    --left;
+    step.step->permits.asking = true;
     now.decided.asks.push_back(
         {step.step->id,
          std::move(workers),
-         step.queue->priority,
-         std::chrono::ceil<milliseconds>(expected)});
+         static_cast<std::uint32_t>(step.chance) * priorities +
+             std::min(step.queue->priority, priorities - 1),
+         expected});
 }
 
 void planner::note_answer(
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -25,8 +25,16 @@
 {
     step_id step;
     std::vector<worker_id> workers;
-    std::uint32_t priority = 0;
-    milliseconds expected{0}; ///< How long the service takes to answer.
+    std::uint32_t priority = 0; ///< Lower is asked first.
+    milliseconds expected{0};   ///< How long the service takes to answer.
+};
+
+/// How many questions can be put soon; more would only grow old.
+struct ask_room
+{
+    std::size_t brief = 0;
+    std::size_t lengthy = 0;
+    milliseconds longest_brief{0}; ///< Expected time of a brief one.
 };
 
 struct plan
@@ -48,6 +56,9 @@
     /// Part of the expected permits that a question counts on: naming a few
     /// workers more costs less than asking twice.
     double named_share = 0.7;
+    /// A first question also names workers without room, as some will have
+    /// room before the permits run out, for at most this part of its base time.
+    double ahead_share = 0.4;
     /// Gangs that may hold workers free for themselves at the same time.
     std::size_t most_holding_gangs = 3;
 };
@@ -67,7 +78,8 @@
         worker_table& workers,
         const configuration& config,
         instant now,
-        bool inherited_may_start);
+        bool inherited_may_start,
+        ask_room questions);
 
     /// A run ended well after this time.
     void note_run_time(const queue_name& queue, milliseconds took)
@@ -112,6 +124,9 @@
         const std::string& rack);
     void hold_workers(round& now, candidate& step);
     void ask_for_tasks(round& now, candidate& step);
+    /// Adds workers without room to a question's.
+    void name_ahead(
+        round& now, const candidate& step, std::vector<worker_id>& named) const;
     void ask_for_gang(
         round& now, candidate& step, const std::vector<worker_entry*>& places);
     void ask(round& now, candidate& step, std::vector<worker_id> workers);
--- a/tests/fleet/advice_board_test.cpp
+++ b/tests/fleet/advice_board_test.cpp
@@ -97,3 +97,20 @@
     CHECK_FALSE(
         at.board.finish(instance_id("a"), overdue.front().step).has_value());
 }
+
+TEST_CASE("questions are kept ready for each VM and no more", "[advice]")
+{
+    fixture at;
+    at.come("a");
+    at.come("b");
+    CHECK(at.board.turn(at.now).empty());
+    CHECK(at.board.room(at.now).brief == 2);
+    at.board.add(question("one", 0, 10ms));
+    at.board.add(question("two", 0, 10ms));
+    at.board.add(question("three", 0, 10ms));
+    CHECK(at.board.turn(at.now).empty());
+    CHECK(at.board.room(at.now).brief == 1);
+    at.board.add(question("long", 0, 900ms));
+    CHECK(at.board.room(at.now).brief == 1);
+    CHECK(at.board.room(at.now).lengthy == 1);
+}
--- /dev/null
+++ b/tests/fleet/planner_test.cpp
@@ -0,0 +1,132 @@
+#include "fleet/planner.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciastile;
+using namespace acaciastile::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Workers of 8 cores and a queue whose policy has to be asked.
+struct fixture
+{
+    job_book jobs{1};
+    worker_table workers;
+    planner decider;
+    configuration config;
+    instant now{100s};
+    ask_room questions{100, 100, 150ms};
+
+    explicit fixture(std::size_t count)
+    {
+        queue_settings queue;
+        queue.name = queue_name("work");
+        queue.service = service_name("svc");
+        queue.attempts = 2;
+        queue.stretch = 4.0;
+        queue.latency_objective = 1s;
+        advice_terms advice;
+        advice.base = std::chrono::duration<double, std::milli>(10.0);
+        advice.per_worker = std::chrono::duration<double, std::milli>(0.1);
+        advice.valid = 1'500ms;
+        queue.advice = advice;
+        account_settings account;
+        account.name = account_name("acct");
+        config = configuration(1, {queue}, {account}, {});
+        for (std::size_t n = 0; n < count; ++n)
+        {
+            worker_registration about;
+            about.id = worker_id("w" + std::to_string(n));
+            about.service = service_name("svc");
+            about.capacity = {8'000, 64'000, 0};
+            workers.upsert(about);
+            workers.find(about.id)->sealed = true;
+        }
+    }
+
+    job_entry& submit(const std::string& id, std::uint32_t tasks)
+    {
+        step_spec step;
+        step.count = tasks;
+        step.each = {4'000, 1'000, 0};
+        step.estimate = 1s;
+        accepted_job job;
+        job.id = job_id(id);
+        job.queue = queue_name("work");
+        job.account = account_name("acct");
+        job.request.steps = {step};
+        return *jobs.add(std::move(job), false, now);
+    }
+
+    void fill(const std::string& worker)
+    {
+        run_entry run;
+        run.task = {{job_id("other-" + worker), 0, 0}, 0};
+        run.run = 1;
+        run.needs = {8'000, 1'000, 0};
+        workers.add_run(*workers.find(worker_id(worker)), run);
+    }
+
+    plan decide()
+    {
+        return decider.decide(jobs, workers, config, now, true, questions);
+    }
+};
+
+} // namespace
+
+TEST_CASE("pattern: a full fleet, where each worker has room for a moment")
+{
+    fixture at(20);
+    for (std::size_t n = 1; n < 20; ++n)
+    {
+        at.fill("w" + std::to_string(n));
+    }
+    at.submit("a", 4);
+    const plan first = at.decide();
+    REQUIRE(first.asks.size() == 1);
+    // One worker has room; permits for it alone would mean another question
+    // each time that one more has.
+    REQUIRE(first.asks.front().workers.size() >= 10);
+    permits answer;
+    answer.valid = 1'500ms;
+    for (std::size_t n = 0; n < first.asks.front().workers.size(); n += 2)
+    {
+        answer.allowed.push_back({first.asks.front().workers[n], "ticket"});
+    }
+    at.decider.note_answer(
+        at.jobs,
+        at.workers,
+        first.asks.front().step,
+        first.asks.front().workers,
+        answer,
+        at.now + answer.valid);
+    const worker_id freed = answer.allowed[2].worker;
+    at.workers.remove_run(
+        *at.workers.find(freed),
+        {{job_id("other-" + freed.str()), 0, 0}, 0},
+        1);
+    const plan second = at.decide();
+    CHECK(second.asks.empty());
+    CHECK_FALSE(second.starts.empty());
+}
+
+TEST_CASE("pattern: more questions than the policy service can take")
+{
+    fixture at(4);
+    at.questions.brief = 2;
+    for (int n = 0; n < 10; ++n)
+    {
+        at.submit("excess" + std::to_string(n), 1).excess = true;
+    }
+    at.now += 10ms;
+    at.submit("within", 1);
+    const plan decided = at.decide();
+    REQUIRE(decided.asks.size() == 2);
+    CHECK(decided.asks.front().step.job == job_id("within"));
+    CHECK(decided.asks.front().priority < decided.asks.back().priority);
+    // The others are asked once there is room for their questions.
+    CHECK(at.decide().asks.size() == 2);
+}
