An outage of the store alone does not move the fleet

The owner's renewal, lost with the outage, ran into its time-out at 22.6 s, and until then the owner told all VMs that its renewals fail.

Change: that the store turns the owner away is believed by a VM that the store has served for 1.5 s, longer than a call's time-out.

--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -139,6 +139,7 @@
         // The owner may have been kept from renewing as this VM was from
         // reading; its silence counts from now.
         heard_ = clock_.now();
+        read_ok_since_ = heard_;
         read_ok_ = true;
     }
     if (store_lost_)
@@ -239,6 +240,11 @@
     {
         return;
     }
+    if (why == doubt::cut_off && (!read_ok_ || clock_.now() - read_ok_since_ <
+                                                   settings_.cut_off_patience))
+    {
+        return;
+    }
     if (why == doubt::silent)
     {
         silent_token_ = token;
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -29,6 +29,10 @@
     /// An owner that denies being one may not have read its own claim yet, for
     /// this long after this VM has.
     milliseconds claim_travel{250};
+    /// That the store turns the owner away is believed by a VM that it has
+    /// served for this long: an owner whose call was lost with the store's
+    /// outage tells so until that call times out, after 1.2 s.
+    milliseconds cut_off_patience{1'500};
     /// Spread of competing claims.
     milliseconds jitter{60};
     /// Of this VM: 1,000 is one that can decide for a large fleet.
@@ -162,6 +166,7 @@
     std::mt19937_64 random_;
     log_offset next_ = 0; ///< Read up to here.
     bool read_ok_ = false;
+    instant read_ok_since_{};
     std::optional<owner_view> owner_;
     /// The owner is a process of this VM that has ended.
     bool owner_is_former_life_ = false;
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -788,3 +788,31 @@
     CHECK(longest < 1'500ms);
     CHECK(world.broken_promises().empty());
 }
+
+TEST_CASE("the owner keeps the fleet through an outage of the store")
+{
+    fleet_world world;
+    world.run(1s);
+    REQUIRE(world.owner() != nullptr);
+    const std::uint64_t token = world.owner()->token();
+    const auto other = std::find_if(
+        world.vms.begin(),
+        world.vms.end(),
+        [&](const auto& each) { return each->owner == nullptr; });
+    // A call that is lost with the outage ends after it.
+    world.store.mode = standin::store_mode::silent;
+    world.run(4s);
+    world.store.mode = standin::store_mode::well;
+    for (int n = 0; n < 10; ++n)
+    {
+        world.run(100ms);
+        (*other)->leaders->suspect(token, fleet::leadership::doubt::cut_off);
+    }
+    world.run(3s);
+    REQUIRE(world.owner() != nullptr);
+    CHECK(world.owner()->token() == token);
+    // The store serves this VM, and not the owner.
+    (*other)->leaders->suspect(token, fleet::leadership::doubt::cut_off);
+    world.run(200ms);
+    CHECK((*other)->owner != nullptr);
+}
