A VM whose watch of the store is deaf reads beside it

Change: a claim, renewal or release that meets a longer topic, and a claim that is stored, is followed by a read that does not wait.

--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -132,6 +132,22 @@
         });
 }
 
+void leadership::read_at_once()
+{
+    store_.read(
+        topic,
+        next_,
+        milliseconds::zero(),
+        [weak = weak_from_this()](const result<store_page>& page)
+        {
+            // The read that waits tells of failures.
+            if (const auto self = weak.lock(); self && page)
+            {
+                self->on_page(*page);
+            }
+        });
+}
+
 void leadership::on_page(const store_page& page)
 {
     if (!read_ok_)
@@ -340,6 +356,14 @@
         });
 }
 
+void leadership::heed_conflict(const result<log_offset>& stored)
+{
+    if (!stored && stored.error().code == refusal_code::revision_conflict)
+    {
+        read_at_once();
+    }
+}
+
 void leadership::claim()
 {
     if (appending_)
@@ -353,7 +377,14 @@
     // The claim takes effect when it is read, also where its answer is lost.
     append(
         record_of(ownership_record::kind::claim, 0),
-        [](const result<log_offset>&) {});
+        [this](const result<log_offset>& stored)
+        {
+            if (stored)
+            {
+                read_at_once();
+            }
+            heed_conflict(stored);
+        });
 }
 
 void leadership::renew()
@@ -408,7 +439,7 @@
                 again(std::max(milliseconds::zero(), settings_.renewal - took));
                 return;
             }
-            // A conflict is settled by reading what came before.
+            heed_conflict(stored);
             again(settings_.retry);
         });
 }
@@ -462,6 +493,7 @@
                 return;
             }
             // Whether it was stored is told by reading on.
+            heed_conflict(stored);
             clock_.after(
                 settings_.retry,
                 [weak = weak_from_this(), done]
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -140,6 +140,9 @@
         std::uint64_t seed);
 
     void read();
+    /// Reads what is there, beside the read that waits: the store may keep
+    /// news from waiting reads for a while.
+    void read_at_once();
     void on_page(const store_page& page);
     void fold(const store_record& record);
     void set_owner(std::optional<owner_view> owner, std::string_view nonce);
@@ -153,6 +156,8 @@
     [[nodiscard]] ownership_record
     record_of(ownership_record::kind what, std::uint64_t token) const;
     void claim();
+    /// The topic has grown beyond what was read.
+    void heed_conflict(const result<log_offset>& stored);
     void renew();
     void append(ownership_record record, completion<log_offset> done);
     void store_release(std::function<void()> done);
--- a/src/standin/memory_store.cpp
+++ b/src/standin/memory_store.cpp
@@ -197,6 +197,19 @@
         done(refuse(refusal_code::offset_expired, std::to_string(data.first)));
         return;
     }
+    if (store_.deaf_watches && store_.clock_.now() < until)
+    {
+        store_.clock_.after(
+            until - store_.clock_.now(),
+            [from, done]
+            {
+                fleet::store_page page;
+                page.end = from;
+                page.topic_end = from;
+                done(std::move(page));
+            });
+        return;
+    }
     if (from >= end && store_.clock_.now() < until)
     {
         auto answered = std::make_shared<bool>(false);
--- a/src/standin/memory_store.hpp
+++ b/src/standin/memory_store.hpp
@@ -38,6 +38,8 @@
     store_mode mode = store_mode::well;
     milliseconds latency{4};
     milliseconds lateness{2'000};
+    /// Reads that wait hear of nothing new until their wait is over.
+    bool deaf_watches = false;
     /// Records that one answer to a read holds.
     std::size_t page_records = 10'000;
     counts calls;
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -816,3 +816,19 @@
     world.run(200ms);
     CHECK((*other)->owner != nullptr);
 }
+
+TEST_CASE("a VM whose watch of the store is deaf still takes over")
+{
+    fleet_world world;
+    world.peers_tell = true;
+    world.run(1s);
+    REQUIRE(world.owner_vm() != nullptr);
+    world.store.deaf_watches = true;
+    world.run(1'200ms);
+    fleet_world::vm* before = world.owner_vm();
+    REQUIRE(before != nullptr);
+    before->stop();
+    world.run(1'500ms);
+    REQUIRE(world.owner_vm() != nullptr);
+    CHECK(world.owner_vm() != before);
+}
