A gang asks the policy about workers with room, and about enough of them

Of 350 workers a question named the first 100, most of them without room.

Change: a gang's question names workers with the most places first, until two and a half times its members are expected to find a place.

--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -43,6 +43,21 @@
 /// More than there are priorities of queues.
 constexpr std::uint32_t priorities = 1'000;
 
+/// Members of a gang that fit into an amount of free room.
+std::int64_t
+places_in(resources room, const step_spec& spec, const resources& each)
+{
+    const std::int64_t most =
+        spec.most_per_worker > 0 ? spec.most_per_worker : spec.count;
+    std::int64_t places = 0;
+    while (places < most && each.fits_in(room))
+    {
+        room -= each;
+        ++places;
+    }
+    return places;
+}
+
 } // namespace
 
 resources room_of(const step_spec& step)
@@ -627,17 +642,60 @@
         ask(now, step, std::move(named));
         return;
     }
-    for (worker_entry* worker : now.usable[step.queue->service])
+    ask(now, step, gang_candidates(now, step));
+}
+
+std::vector<worker_id>
+planner::gang_candidates(round& now, const candidate& step)
+{
+    struct unknown
+    {
+        const worker_entry* worker;
+        std::int64_t places; ///< For members now.
+        std::int64_t most;   ///< For members where nothing else runs.
+    };
+    const permit_entry& permits = step.step->permits;
+    std::vector<unknown> choice;
+    for (const worker_entry* worker : now.usable[step.queue->service])
     {
         const worker_id& id = worker->about.id;
-        if (!permits.allowed.contains(id) && !permits.denied.contains(id) &&
-            named.size() < settings_.most_asked &&
-            may_run(now, step, *worker, false))
+        const std::int64_t most =
+            places_in(worker->about.capacity, *step.spec, step.room);
+        if (most > 0 && !permits.allowed.contains(id) &&
+            !permits.denied.contains(id) && may_run(now, step, *worker, false))
         {
-            named.push_back(id);
+            choice.push_back(
+                {worker,
+                 places_in(worker->room(), *step.spec, step.room),
+                 most});
         }
     }
-    ask(now, step, std::move(named));
+    std::stable_sort(
+        choice.begin(),
+        choice.end(),
+        [](const unknown& left, const unknown& right)
+        {
+            return std::pair(left.places, left.most) >
+                   std::pair(right.places, right.most);
+        });
+    const double share =
+        allowed_share_
+            .try_emplace(step.queue->name, settings_.first_allowed_share)
+            .first->second;
+    const double wanted =
+        settings_.gang_margin * static_cast<double>(step.step->tasks.size());
+    double expected = 0;
+    std::vector<worker_id> named;
+    for (const unknown& each : choice)
+    {
+        if (named.size() >= settings_.most_asked || expected >= wanted)
+        {
+            break;
+        }
+        named.push_back(each.worker->about.id);
+        expected += share * static_cast<double>(each.places);
+    }
+    return named;
 }
 
 void planner::ask(round& now, candidate& step, std::vector<worker_id> workers)
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -59,6 +59,9 @@
     /// A first question also names workers without room, as some will have
     /// room before the permits run out, for at most this part of its base time.
     double ahead_share = 0.4;
+    /// Expected places of a gang's question, as a multiple of its members: room
+    /// changes while the service answers.
+    double gang_margin = 2.5;
     /// Gangs that may hold workers free for themselves at the same time.
     std::size_t most_holding_gangs = 3;
 };
@@ -129,6 +132,9 @@
         round& now, const candidate& step, std::vector<worker_id>& named) const;
     void ask_for_gang(
         round& now, candidate& step, const std::vector<worker_entry*>& places);
+    /// Unknown workers for a gang's question, those with room first.
+    [[nodiscard]] std::vector<worker_id>
+    gang_candidates(round& now, const candidate& step);
     void ask(round& now, candidate& step, std::vector<worker_id> workers);
     void start(
         round& now,
--- a/tests/fleet/planner_test.cpp
+++ b/tests/fleet/planner_test.cpp
@@ -46,10 +46,12 @@
         }
     }
 
-    job_entry& submit(const std::string& id, std::uint32_t tasks)
+    job_entry&
+    submit(const std::string& id, std::uint32_t tasks, bool gang = false)
     {
         step_spec step;
         step.count = tasks;
+        step.gang = gang;
         step.each = {4'000, 1'000, 0};
         step.estimate = 1s;
         accepted_job job;
@@ -130,3 +132,25 @@
     // The others are asked once there is room for their questions.
     CHECK(at.decide().asks.size() == 2);
 }
+
+TEST_CASE("pattern: a gang in a large fleet that is four fifths full")
+{
+    fixture at(150);
+    for (std::size_t n = 0; n < 150; ++n)
+    {
+        if (n % 5 != 4)
+        {
+            at.fill("w" + std::to_string(n));
+        }
+    }
+    at.submit("gang", 8, true);
+    const plan decided = at.decide();
+    REQUIRE(decided.asks.size() == 1);
+    const auto& named = decided.asks.front().workers;
+    // Two members fit on a free worker and half of the workers are allowed.
+    CHECK(named.size() <= 20);
+    for (const worker_id& id : named)
+    {
+        CHECK(at.workers.find(id)->runs.empty());
+    }
+}
