One call for a worker's lists for each end, two before

Cause: after an end was taken in, its worker was called at once, with nothing to forget yet, and again when the end was stored, 30 ms later.

Change: the next call waits for the store, 60 ms at the most.

--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -63,6 +63,9 @@
     /// Until the next call to a worker that did not answer, or whose ends
     /// cannot be forgotten yet.
     milliseconds hold_retry{150};
+    /// A worker whose end was just taken in is called again once that is
+    /// stored, which takes some 30 ms, or after this time.
+    milliseconds settle_wait{60};
     /// After a failed call to the store.
     milliseconds store_retry{120};
     /// After a question that the policy service did not answer.
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -185,6 +185,8 @@
         }
         take_end(worker, each);
         worker.processed = each.number;
+        worker.next_hold =
+            std::max(worker.next_hold, now + settings_.settle_wait);
     }
     settle_missing(worker, asked, status);
 }
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -832,3 +832,24 @@
     REQUIRE(world.owner_vm() != nullptr);
     CHECK(world.owner_vm() != before);
 }
+
+TEST_CASE("an end costs one call for a worker's lists", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{100ms, false};
+    };
+    std::vector<fleet::step_spec> steps(20, tasks(1));
+    for (std::uint32_t at = 1; at < steps.size(); ++at)
+    {
+        steps[at].after = {at - 1};
+    }
+    world.run(500ms);
+    const std::uint64_t before = world.workers.calls();
+    world.submit("a", steps);
+    REQUIRE(world.run_until("a", job_state::completed, 8s));
+    world.run(100ms);
+    const std::uint64_t starts = 20;
+    // The call that lets the worker forget an end waits for the next one.
+    CHECK(world.workers.calls() - before <= 2 * starts + 2);
+}
