A request is dropped from the store only once the end of its job is stored

Change: what counts is the state that was stored.

Ruled out: partial pages of newest records (945 jobs loaded, 857 stored by the log); late appends (fenced by the next owner's epoch).

Test: stores a part, ends the job, kills the owner; the job was unknown before.

--- a/src/fleet/job.hpp
+++ b/src/fleet/job.hpp
@@ -108,4 +108,11 @@
     cancelled
 };
 
+/// Nothing of a job in such a state starts again.
+[[nodiscard]] constexpr bool is_final(job_state state) noexcept
+{
+    return state == job_state::completed || state == job_state::failed ||
+           state == job_state::cancelled;
+}
+
 } // namespace acaciastile::fleet
--- a/src/fleet/job_book.cpp
+++ b/src/fleet/job_book.cpp
@@ -75,9 +75,7 @@
     job_entry* job = find(id);
     if (job == nullptr)
     {
-        if (progress.state == job_state::completed ||
-            progress.state == job_state::failed ||
-            progress.state == job_state::cancelled)
+        if (is_final(progress.state))
         {
             add_ended(id, progress);
         }
--- a/src/fleet/job_book.hpp
+++ b/src/fleet/job_book.hpp
@@ -80,8 +80,7 @@
 
     [[nodiscard]] bool is_final() const noexcept
     {
-        return state == job_state::completed || state == job_state::failed ||
-               state == job_state::cancelled;
+        return fleet::is_final(state);
     }
     [[nodiscard]] const step_spec& spec(const step_id& id) const
     {
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -120,7 +120,8 @@
         if (job_entry* job = jobs_.find(id))
         {
             job->shown = state;
-            if (job->is_final())
+            // Of the state that is stored: a job may have ended meanwhile.
+            if (is_final(state))
             {
                 ended_jobs_.push_back(id);
             }
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -853,3 +853,25 @@
     // The call that lets the worker forget an end waits for the next one.
     CHECK(world.workers.calls() - before <= 2 * starts + 2);
 }
+
+TEST_CASE("a request is kept until the end of its job is stored", "[fleet]")
+{
+    fleet_world world(2, 2);
+    world.settings.clean_up = 500ms;
+    world.workers.behaviour = [](const fleet::task_ref& task) {
+        return standin::task_behaviour{task.index == 0 ? 300ms : 420ms, false};
+    };
+    world.submit("a", {tasks(2)});
+    world.run(150ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.store.latency = 300ms;
+    world.run(350ms); // The first end is being stored while the second comes.
+    REQUIRE(world.workers.running() == 0);
+    world.store.latency = 4s;
+    world.run(200ms); // The second is on its way,
+    REQUIRE_FALSE(world.store.newest(fleet::topics::progress, "a").empty());
+    world.store.latency = 4ms;
+    world.run(600ms); // and ended jobs are cleaned up meanwhile.
+    world.owner_vm()->kill();
+    CHECK(world.run_until("a", job_state::completed, 8s));
+}
