An owner that the store does not answer is replaced after 1.1 s

It is replaced at 2.8 s, jobs handed to it waited 1.4 s, and then 92 calls were answered 504 after 5 ms, as their callers, who had tried before, had less time left than the 150 ms that are kept for the way back.

Change: an owner that is asked whether it is there also tells how long ago the store last answered it; beyond 0.7 s it is held for silent. It is asked again while its silence lasts. Of a short deadline a quarter is kept.

Ruled out: the peers' way to the owner (it answered them within 300 ms).

--- a/src/edge/owner_link.cpp
+++ b/src/edge/owner_link.cpp
@@ -27,6 +27,18 @@
 /// Longest wait for the owner on a caller's behalf.
 constexpr milliseconds longest_call{1'500};
 
+/// An owner that the store has not answered for this long is cut off from it:
+/// it asks every 0.3 s, and a slow store answers within 0.25 s.
+constexpr milliseconds longest_store_silence{700};
+
+bool has_lost_store(const net::http_outcome& alive)
+{
+    milliseconds::rep silence = 0;
+    return alive.status() == 200 &&
+           absl::SimpleAtoi(alive.response.body(), &silence) &&
+           milliseconds(silence) > longest_store_silence;
+}
+
 tl::unexpected<error> no_owner(std::string reason)
 {
     return refuse(refusal_code::no_owner, std::move(reason));
@@ -95,17 +107,17 @@
          token = leaders_.owner()->token](const net::http_outcome& outcome)
         {
             checking_ = false;
+            if (outcome.timed_out || has_lost_store(outcome))
+            {
+                note_silent(token);
+                return;
+            }
             if (outcome.answered())
             {
                 answered_ = clock_.now();
                 answered_token_ = token;
                 silent_token_ = 0;
             }
-            else if (outcome.timed_out)
-            {
-                note_silent(token);
-                return;
-            }
             note_answer(token, outcome);
         });
 }
--- a/src/edge/peer_api.cpp
+++ b/src/edge/peer_api.cpp
@@ -36,7 +36,8 @@
     }
     if (path == peer_paths::alive)
     {
-        respond(reply(http::status::ok, {}));
+        respond(reply(
+            http::status::ok, std::to_string(owner->store_silence().count())));
         return;
     }
     if (!owner->loaded())
--- a/src/edge/peer_messages.hpp
+++ b/src/edge/peer_messages.hpp
@@ -18,7 +18,8 @@
 inline constexpr const char* cancel = "/v1/fleet/cancel";
 inline constexpr const char* pending = "/v1/fleet/pending";
 inline constexpr const char* accept = "/v1/fleet/accept";
-/// Answered at once by the owner, also while it loads.
+/// Answered at once by the owner, also while it loads, with the milliseconds
+/// since the store last answered it.
 inline constexpr const char* alive = "/v1/fleet/alive";
 } // namespace peer_paths
 
--- a/src/fleet/intake.cpp
+++ b/src/fleet/intake.cpp
@@ -42,7 +42,11 @@
     }
     auto entry = std::make_shared<waiting_job>();
     entry->record = {0, job.id.str(), encode(job)};
-    entry->deadline = deadline - settings_.answer_margin;
+    // A caller who tries again late has little time, and storing takes some
+    // 10 ms.
+    entry->deadline =
+        deadline -
+        std::min(settings_.answer_margin, (deadline - clock_.now()) / 4);
     entry->done = std::move(done);
     entry->sent = may_be_stored;
     waiting_.push_back(entry);
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -76,12 +76,14 @@
 
 void leadership::check_quiet()
 {
-    if (quiet_told_ || !read_ok_ || !owner_ || is_owner() ||
-        clock_.now() - heard_ < settings_.check_after)
+    const instant now = clock_.now();
+    if (!read_ok_ || !owner_ || is_owner() ||
+        now - heard_ < settings_.check_after ||
+        now - quiet_told_ < settings_.check_again)
     {
         return;
     }
-    quiet_told_ = true;
+    quiet_told_ = now;
     listener_.on_owner_quiet();
 }
 
@@ -187,7 +189,6 @@
     }
     heard_ = clock_.now();
     silent_token_ = 0;
-    quiet_told_ = false;
     switch (told->what)
     {
     case ownership_record::kind::claim:
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -23,6 +23,8 @@
     milliseconds takeover{1'700};
     /// Silence after which the owner is asked directly: a renewal is missing.
     milliseconds check_after{750};
+    /// Between two such questions in one silence.
+    milliseconds check_again{250};
     /// As `takeover`, where the owner does not answer this VM either. Two
     /// renewals.
     milliseconds doubted_takeover{1'050};
@@ -183,7 +185,7 @@
     bool claim_planned_ = false;
     /// The owner does not answer this VM; zero: none.
     std::uint64_t silent_token_ = 0;
-    bool quiet_told_ = false; ///< In the present silence.
+    instant quiet_told_{}; ///< When the listener last heard of a silence.
     bool renewal_failed_ = false;
     bool retired_ = false;
     instant no_claim_until_{};
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -164,6 +164,11 @@
         });
 }
 
+milliseconds fleet_owner::store_silence() const
+{
+    return loaded_ ? ports_.clock.now() - store_heard_ : milliseconds::zero();
+}
+
 std::size_t fleet_owner::pending(const queue_name& queue) const
 {
     return jobs_.pending(queue);
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -127,6 +127,10 @@
     void look_up(const job_id& id, completion<job_view> done);
     [[nodiscard]] std::size_t pending(const queue_name& queue) const;
 
+    /// How long ago the store last answered; it is asked every 0.3 s. Zero
+    /// until all is loaded.
+    [[nodiscard]] milliseconds store_silence() const;
+
     /// Takes in a job that this VM has stored, before the topic is read.
     void accept(accepted_job job);
 
@@ -308,6 +312,7 @@
     instant next_flush_{};
     std::vector<std::function<void()>> after_flush_;
     bool store_lost_ = false;
+    instant store_heard_{}; ///< The last answer to a read of the registry.
     std::vector<job_id> ended_jobs_; ///< Whose requests are still stored.
 };
 
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -203,6 +203,7 @@
         lapsed_.emplace(id, dropped_at);
     }
     loaded_ = true;
+    store_heard_ = ports_.clock.now();
     ports_.events.emit(
         {event_number::fleet_loaded,
          {{"fence", std::to_string(token_)},
@@ -451,6 +452,10 @@
         guarded(
             [](fleet_owner& self, const result<store_page>& page)
             {
+                if (page || page.error().code == refusal_code::offset_expired)
+                {
+                    self.store_heard_ = self.ports_.clock.now();
+                }
                 if (page)
                 {
                     for (const store_record& record : page->records)
--- a/tests/fleet/intake_test.cpp
+++ b/tests/fleet/intake_test.cpp
@@ -109,3 +109,11 @@
     at.clock.advance(1'500ms); // The second try ran into the silence, too.
     CHECK(at.told.at("a") == intake_outcome::stored);
 }
+
+TEST_CASE("a caller with little time left is still served", "[intake]")
+{
+    fixture at;
+    at.submit("a", 100ms);
+    at.clock.advance(100ms);
+    CHECK(at.told["a"] == intake_outcome::stored);
+}
