One address parser, one reader of the first kept offset; leftovers removed

Addresses were parsed in three places (settings, workers, the owner's address), the offset in an expired read in two, the learnt part of allowed workers in three; a gang's places were counted by two loops; an owner's answer was noted by two copies; an unconfirmed configuration was answered for by two. While a new owner waits for its workers, each of them in each round went through all that are unheard. leadership::retire, loss_cause and advice_board::next_due were used by nobody.

Change: endpoint::parse, first_kept, allowed_share_of, places_in, leadership::later and note_answer serve all of them; whether leases have ended is asked once a round. The check for a loading owner in owner_link::cancel went, as fleet_owner::cancel makes it.

--- a/src/edge/owner_link.cpp
+++ b/src/edge/owner_link.cpp
@@ -1,7 +1,7 @@
 #include "edge/owner_link.hpp"
 
 #include <absl/strings/numbers.h>
-#include <absl/strings/str_split.h>
+#include <utility>
 
 namespace acaciastile::edge
 {
@@ -75,18 +75,7 @@
 std::optional<net::endpoint> owner_link::owner_address() const
 {
     const auto& owner = leaders_.owner();
-    if (!owner)
-    {
-        return std::nullopt;
-    }
-    const std::pair<std::string, std::string> parts =
-        absl::StrSplit(owner->address, ':');
-    std::uint32_t port = 0;
-    if (!absl::SimpleAtoi(parts.second, &port))
-    {
-        return std::nullopt;
-    }
-    return net::endpoint{parts.first, static_cast<std::uint16_t>(port)};
+    return owner ? net::endpoint::parse(owner->address) : std::nullopt;
 }
 
 void owner_link::check_alive()
@@ -112,12 +101,6 @@
                 note_silent(token);
                 return;
             }
-            if (outcome.answered())
-            {
-                answered_ = clock_.now();
-                answered_token_ = token;
-                silent_token_ = 0;
-            }
             note_answer(token, outcome);
         });
 }
@@ -141,13 +124,10 @@
 
 void owner_link::handed_over::finish(const result<void>& outcome)
 {
-    if (!done)
+    if (done)
     {
-        return;
+        std::exchange(done, nullptr)(outcome);
     }
-    const auto tell = std::move(done);
-    done = nullptr;
-    tell(outcome);
 }
 
 void owner_link::call(
@@ -182,18 +162,12 @@
         [this, token = owner->token, done = std::move(done)](
             net::http_outcome outcome)
         {
-            if (outcome.answered())
-            {
-                answered_ = clock_.now();
-                answered_token_ = token;
-                silent_token_ = 0;
-            }
+            note_answer(token, outcome);
             if (outcome.status() == 200)
             {
                 done(std::move(outcome.response.body()));
                 return;
             }
-            note_answer(token, outcome);
             // A VM that answers without success has done nothing, but for a
             // gateway timeout.
             const bool open =
@@ -211,6 +185,12 @@
     std::uint64_t token, const net::http_outcome& outcome)
 {
     using doubt = fleet::leadership::doubt;
+    if (outcome.answered())
+    {
+        answered_ = clock_.now();
+        answered_token_ = token;
+        silent_token_ = 0;
+    }
     if (outcome.status() == 409)
     {
         leaders_.suspect(token, doubt::denies);
@@ -236,14 +216,7 @@
         id.str(),
         std::min(deadline, longest_call),
         [done = std::move(done)](const result<std::string>& body)
-        {
-            if (!body)
-            {
-                done(tl::unexpected(body.error()));
-                return;
-            }
-            done(decode_job_view(*body));
-        });
+        { done(body.and_then(decode_job_view)); });
 }
 
 void owner_link::cancel(
@@ -251,11 +224,6 @@
 {
     if (local_)
     {
-        if (!local_->loaded())
-        {
-            done(no_owner("the owner is loading"));
-            return;
-        }
         local_->cancel(id, std::move(done));
         return;
     }
@@ -263,14 +231,9 @@
         peer_paths::cancel,
         id.str(),
         deadline,
-        [done = std::move(done)](const result<std::string>& body)
-        {
-            if (!body)
-            {
-                done(tl::unexpected(body.error()));
-                return;
-            }
-            done(*body == "1");
+        [done = std::move(done)](const result<std::string>& body) {
+            done(body.map([](const std::string& known)
+                          { return known == "1"; }));
         });
 }
 
@@ -341,14 +304,7 @@
         encode(request),
         timeout,
         [done = std::move(done)](const result<std::string>& body)
-        {
-            if (!body)
-            {
-                done(tl::unexpected(body.error()));
-                return;
-            }
-            done(decode_work_reply(*body));
-        });
+        { done(body.and_then(decode_work_reply)); });
 }
 
 void owner_link::accept(
--- a/src/fleet/advice_board.cpp
+++ b/src/fleet/advice_board.cpp
@@ -121,20 +121,6 @@
     return done;
 }
 
-instant advice_board::next_due() const
-{
-    instant due = instant::max();
-    for (const auto& [vm, each] : given_)
-    {
-        due = std::min(due, each.until);
-    }
-    for (const auto& [vm, each] : visitors_)
-    {
-        due = std::min(due, each.until);
-    }
-    return due;
-}
-
 void advice_board::close()
 {
     auto visitors = std::move(visitors_);
--- a/src/fleet/advice_board.hpp
+++ b/src/fleet/advice_board.hpp
@@ -58,9 +58,6 @@
     [[nodiscard]] std::optional<ask_decision>
     finish(const instance_id& vm, const step_id& step);
 
-    /// Earliest instant at which `turn` has something to do.
-    [[nodiscard]] instant next_due() const;
-
     /// Questions that may be added now so that no VM waits for one.
     [[nodiscard]] ask_room room(instant now) const;
 
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -1,7 +1,6 @@
 #include "fleet/leadership.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 namespace acaciastile::fleet
 {
@@ -42,6 +41,19 @@
     return milliseconds(drawn(random_));
 }
 
+void leadership::later(milliseconds delay, void (leadership::*work)())
+{
+    clock_.after(
+        delay,
+        [weak = weak_from_this(), work]
+        {
+            if (const auto self = weak.lock())
+            {
+                ((*self).*work)();
+            }
+        });
+}
+
 void leadership::start()
 {
     heard_ = clock_.now();
@@ -108,9 +120,7 @@
             }
             if (page.error().code == refusal_code::offset_expired)
             {
-                const std::string& first = page.error().message;
-                std::from_chars(
-                    first.data(), first.data() + first.size(), self->next_);
+                self->next_ = first_kept(page.error(), self->next_);
                 self->read();
                 return;
             }
@@ -122,15 +132,8 @@
                      {{"topic", topic}, {"reason", page.error().message}}});
             }
             self->read_ok_ = false;
-            self->clock_.after(
-                self->settings_.retry + self->draw_jitter(),
-                [weak]
-                {
-                    if (const auto again = weak.lock())
-                    {
-                        again->read();
-                    }
-                });
+            self->later(
+                self->settings_.retry + self->draw_jitter(), &leadership::read);
         });
 }
 
@@ -266,15 +269,8 @@
     {
         silent_token_ = token;
         const milliseconds left = heard_ + patience() - clock_.now();
-        clock_.after(
-            std::max(milliseconds::zero(), left),
-            [weak = weak_from_this()]
-            {
-                if (const auto self = weak.lock())
-                {
-                    self->consider_claim();
-                }
-            });
+        later(
+            std::max(milliseconds::zero(), left), &leadership::consider_claim);
         return;
     }
     heard_ = clock_.now() - settings_.takeover;
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -121,8 +121,6 @@
 
     /// Gives ownership up; `done` is called when that is stored or failed.
     void release(std::function<void()> done);
-    /// Stops claiming.
-    void retire() noexcept { retired_ = true; }
 
     /// Gives ownership up to a VM that can do better, for the reason given.
     void yield(std::string_view reason);
@@ -141,6 +139,7 @@
         leadership_listener& listener,
         std::uint64_t seed);
 
+    void later(milliseconds delay, void (leadership::*work)());
     void read();
     /// Reads what is there, beside the read that waits: the store may keep
     /// news from waiting reads for a while.
--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -68,14 +68,15 @@
 
 void fleet_owner::note_absences()
 {
+    const bool leases_ended = inherited_may_start();
     for (const auto& [id, worker] : workers_.all())
     {
         const bool in_sight =
             worker->listed && worker->reachable && worker->sealed;
         // What runs there is known once the worker has told, or where a
         // predecessor has noted it.
-        const bool known = worker->sealed || inherited_may_start() ||
-                           absences_.find(id) != nullptr;
+        const bool known =
+            worker->sealed || leases_ended || absences_.find(id) != nullptr;
         if (in_sight)
         {
             absences_.withdraw(id);
@@ -100,7 +101,7 @@
         }
         worker->noted_absent = absences_.is_noted(id);
     }
-    if (!inherited_may_start())
+    if (!leases_ended)
     {
         return;
     }
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -1,7 +1,6 @@
 #include "fleet/owner.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 namespace acaciastile::fleet
 {
@@ -59,13 +58,10 @@
                 done(lapsed_in(*history, foreign));
                 return;
             }
-            log_offset first = from;
-            if (!history &&
-                history.error().code == refusal_code::offset_expired)
-            {
-                const std::string& text = history.error().message;
-                std::from_chars(text.data(), text.data() + text.size(), first);
-            }
+            const bool expired = !history && history.error().code ==
+                                                 refusal_code::offset_expired;
+            const log_offset first =
+                expired ? first_kept(history.error(), from) : from;
             if (first > from)
             {
                 find_lapsed(store, foreign, first, end, done);
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -416,17 +416,12 @@
     std::vector<worker_entry*> places;
     for (worker_entry* worker : fitting)
     {
-        resources left = worker->room();
-        std::uint32_t here = 0;
-        while (places.size() < step.step->tasks.size() &&
-               step.room.fits_in(left) &&
-               (step.spec->most_per_worker == 0 ||
-                here < step.spec->most_per_worker))
-        {
-            left -= step.room;
-            ++here;
-            places.push_back(worker);
-        }
+        const auto here = static_cast<std::size_t>(
+            places_in(worker->room(), *step.spec, step.room));
+        places.insert(
+            places.end(),
+            std::min(here, step.step->tasks.size() - places.size()),
+            worker);
     }
     return places.size() == step.step->tasks.size()
                ? places
@@ -558,10 +553,7 @@
     {
         return;
     }
-    const double share =
-        allowed_share_
-            .try_emplace(step.queue->name, settings_.first_allowed_share)
-            .first->second;
+    const double share = allowed_share_of(step.queue->name);
     std::vector<worker_id> named;
     double places = 0;
     const double wanted = step.step->waiting;
@@ -678,10 +670,7 @@
             return std::pair(left.places, left.most) >
                    std::pair(right.places, right.most);
         });
-    const double share =
-        allowed_share_
-            .try_emplace(step.queue->name, settings_.first_allowed_share)
-            .first->second;
+    const double share = allowed_share_of(step.queue->name);
     const double wanted =
         settings_.gang_margin * static_cast<double>(step.step->tasks.size());
     double expected = 0;
@@ -724,6 +713,12 @@
          expected});
 }
 
+double& planner::allowed_share_of(const queue_name& queue)
+{
+    return allowed_share_.try_emplace(queue, settings_.first_allowed_share)
+        .first->second;
+}
+
 void planner::note_answer(
     job_book& jobs,
     worker_table& workers,
@@ -758,11 +753,7 @@
     }
     if (news > 0)
     {
-        double& share = allowed_share_
-                            .try_emplace(
-                                jobs.find(step.job)->job.queue,
-                                settings_.first_allowed_share)
-                            .first->second;
+        double& share = allowed_share_of(jobs.find(step.job)->job.queue);
         const double seen =
             static_cast<double>(granted) / static_cast<double>(news);
         share += settings_.allowed_share_gain * (seen - share);
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -135,6 +135,8 @@
     /// Unknown workers for a gang's question, those with room first.
     [[nodiscard]] std::vector<worker_id>
     gang_candidates(round& now, const candidate& step);
+    /// Learnt part of the workers that a queue's policy allows.
+    [[nodiscard]] double& allowed_share_of(const queue_name& queue);
     void ask(round& now, candidate& step, std::vector<worker_id> workers);
     void start(
         round& now,
--- /dev/null
+++ b/src/fleet/ports.cpp
@@ -0,0 +1,15 @@
+#include "fleet/ports.hpp"
+
+#include <charconv>
+
+namespace acaciastile::fleet
+{
+
+log_offset first_kept(const error& expired, log_offset otherwise) noexcept
+{
+    const std::string& text = expired.message;
+    std::from_chars(text.data(), text.data() + text.size(), otherwise);
+    return otherwise;
+}
+
+} // namespace acaciastile::fleet
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -64,6 +64,10 @@
     [[nodiscard]] bool is_last() const noexcept { return end >= topic_end; }
 };
 
+/// The first offset that is still kept, as `offset_expired` tells it.
+[[nodiscard]] log_offset
+first_kept(const error& expired, log_offset otherwise) noexcept;
+
 /// The platform's metadata store: topics of records in one order each.
 class metadata_store
 {
@@ -81,7 +85,8 @@
         completion<log_offset> done) = 0;
 
     /// Reads from an offset on; waits up to `wait` for the first record.
-    /// Errors: `offset_expired`, `log_unavailable`.
+    /// Errors: `offset_expired`, whose message is the first offset that is
+    /// still kept, `log_unavailable`.
     virtual void read(
         const std::string& topic,
         log_offset from,
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -37,13 +37,6 @@
     std::optional<instant> stop_answered;
 };
 
-/// Why an entry's runs ended at once.
-enum class loss_cause
-{
-    lease_lapsed,
-    new_incarnation
-};
-
 /// A worker, what runs there and how far its ends are taken note of.
 struct worker_entry
 {
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -4,7 +4,9 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace acaciastile::net
 {
@@ -26,6 +28,8 @@
     {
         return address + ":" + std::to_string(port);
     }
+    /// Reads what `str` writes; nothing where the port is none.
+    [[nodiscard]] static std::optional<endpoint> parse(std::string_view text);
 };
 
 /// What came of one call. `effect` is `not_run` where nothing was sent,
