--- a/src/fleet/job_tracker.cpp
+++ b/src/fleet/job_tracker.cpp
@@ -13,6 +13,42 @@
 
 } // namespace
 
+const step_permits::grant* step_permits::find(worker_handle worker) const
+{
+    const auto at = std::lower_bound(
+        allowed.begin(),
+        allowed.end(),
+        worker,
+        [](const grant& each, worker_handle handle)
+        { return each.worker < handle; });
+    return at == allowed.end() || at->worker != worker ? nullptr : &*at;
+}
+
+bool step_permits::allow(grant granted)
+{
+    const auto at = std::lower_bound(
+        allowed.begin(),
+        allowed.end(),
+        granted.worker,
+        [](const grant& each, worker_handle handle)
+        { return each.worker < handle; });
+    if (at != allowed.end() && at->worker == granted.worker)
+    {
+        *at = std::move(granted);
+        return false;
+    }
+    allowed.insert(at, std::move(granted));
+    return true;
+}
+
+void step_permits::expire(worker_handle worker)
+{
+    if (find(worker) != nullptr)
+    {
+        allow({worker, {}, {}, 0});
+    }
+}
+
 job_entry* job_tracker::add(accepted_job job, bool inherited, instant now)
 {
     auto& entry = jobs_[job.id];
@@ -25,11 +61,18 @@
     entry->known_since = now;
     entry->inherited = inherited;
     entry->next_run = token_ * runs_per_owner + 1;
+    entry->queue_index = queues_.index_of(entry->job.queue);
+    entry->account_index = accounts_.index_of(entry->job.account);
+    entry->open_position = open_.size();
     open_.push_back(entry.get());
     if (entry->job.request.occurrences == 0)
     {
         open_occurrence(*entry, now);
     }
+    else
+    {
+        recurring_.push_back(entry.get());
+    }
     return entry.get();
 }
 
@@ -50,7 +93,7 @@
 wall_time job_tracker::open_due_occurrences(wall_time wall, instant now)
 {
     wall_time next = wall_time::max();
-    for (job_entry* job : open_)
+    for (job_entry* job : recurring_)
     {
         const job_request& request = job->job.request;
         while (job->occurrences.size() < request.occurrences)
@@ -67,6 +110,10 @@
             open_occurrence(*job, now);
         }
     }
+    std::erase_if(
+        recurring_,
+        [](const job_entry* job)
+        { return job->occurrences.size() >= job->job.request.occurrences; });
     return next;
 }
 
@@ -339,6 +386,10 @@
     {
         return;
     }
+    for (step_entry& each : job.occurrences[step.id.occurrence])
+    {
+        each.limits_valid_until = {}; // Less work remains than was counted.
+    }
     bool all_done = job.occurrences.size() == job.occurrence_count();
     for (const auto& steps : job.occurrences)
     {
@@ -378,7 +429,14 @@
 
 void job_tracker::close(job_entry& job)
 {
-    open_.erase(std::remove(open_.begin(), open_.end(), &job), open_.end());
+    if (job.open_position >= open_.size() || open_[job.open_position] != &job)
+    {
+        return; // It is closed already.
+    }
+    open_[job.open_position] = open_.back();
+    open_[job.open_position]->open_position = job.open_position;
+    open_.pop_back();
+    std::erase(recurring_, &job);
 }
 
 bool job_tracker::cancel(const job_id& id, wall_time wall)
@@ -445,12 +503,15 @@
 
 std::size_t job_tracker::pending(const queue_name& queue) const
 {
-    std::size_t count = 0;
-    for (const job_entry* job : open_)
-    {
-        count += job->job.queue == queue && job->state == job_state::queued;
-    }
-    return count;
+    const auto& names = queue_names();
+    const auto known = std::find(names.begin(), names.end(), queue);
+    const auto index = static_cast<std::uint32_t>(known - names.begin());
+    return static_cast<std::size_t>(std::count_if(
+        open_.begin(),
+        open_.end(),
+        [&](const job_entry* job) {
+            return job->queue_index == index && job->state == job_state::queued;
+        }));
 }
 
 std::vector<job_id> job_tracker::forget_ended(wall_time before)
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "fleet/configuration.hpp"
+#include "fleet/name_table.hpp"
 #include "fleet/ports.hpp"
 #include "fleet/records.hpp"
+#include "fleet/worker_set.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <map>
@@ -37,14 +39,29 @@
     /// to allow the worker again.
     struct grant
     {
+        worker_handle worker = 0;
         std::string ticket;
         instant until{};               ///< Expiry.
         std::uint64_t incarnation = 0; ///< Of the worker when it was allowed.
     };
-    std::map<worker_id, grant> allowed;
-    std::set<worker_id> denied;
+    std::vector<grant> allowed; ///< Ordered by worker.
+    worker_set denied;
     bool request_in_flight = false;
     instant retry_not_before{}; ///< Set when a request has failed.
+
+    [[nodiscard]] const grant* find(worker_handle worker) const;
+    /// Adds or replaces the grant of its worker. Returns true if the worker was
+    /// not allowed before.
+    bool allow(grant granted);
+    /// Makes the worker's grant count as expired.
+    void expire(worker_handle worker);
+};
+
+/// Until when a job is expected to be useful if its remaining work starts now.
+struct urgency_limits
+{
+    instant in_time_until{}; ///< Later, it is expected to miss its objective.
+    instant useful_until{};  ///< Later, it is expected to end in vain.
 };
 
 /// A step in one occurrence of a job.
@@ -58,6 +75,8 @@
     std::vector<run_number> failed_gang_runs;
     instant opened{}; ///< When its occurrence was created.
     step_permits permits;
+    urgency_limits limits; ///< Computed when `limits_valid_until` has passed.
+    instant limits_valid_until{};
 };
 
 /// State of one job.
@@ -82,6 +101,9 @@
     bool changed = false; ///< Has progress that is not stored yet.
     wall_time ended{};    ///< Set once the state is final.
     run_number next_run = 1;
+    std::uint32_t queue_index = 0;   ///< In `job_tracker::queue_names`.
+    std::uint32_t account_index = 0; ///< In `job_tracker::account_names`.
+    std::size_t open_position = 0;   ///< In `job_tracker::open`.
 
     [[nodiscard]] bool is_final() const noexcept
     {
@@ -139,6 +161,18 @@
         return open_;
     }
 
+    /// The queues and accounts of all jobs so far, by the indexes of their
+    /// jobs.
+    [[nodiscard]] const std::vector<queue_name>& queue_names() const noexcept
+    {
+        return queues_.names();
+    }
+    [[nodiscard]] const std::vector<account_name>&
+    account_names() const noexcept
+    {
+        return accounts_.names();
+    }
+
     /// Creates the due occurrences of recurring jobs. Returns when the next one
     /// is due, or `wall_time::max()`.
     wall_time open_due_occurrences(wall_time wall, instant now);
@@ -220,7 +254,11 @@
 
     std::uint64_t token_;
     job_map jobs_;
+    name_table<queue_name> queues_;
+    name_table<account_name> accounts_;
     std::vector<job_entry*> open_;
+    /// Open jobs that have occurrences in the future.
+    std::vector<job_entry*> recurring_;
     std::vector<job_entry*> changed_;
 };
 
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -108,11 +108,25 @@
         execute(decision);
     }
     hand_out_questions();
+    const bool is_idle_round = next_idle_round_ <= now;
+    if (is_idle_round)
+    {
+        // Covers a worker whose poll was not scheduled when it came to need
+        // one.
+        for (const worker_entry* worker : workers_.all())
+        {
+            schedule_poll(*worker);
+        }
+    }
     poll_workers();
     flush();
     last_round_ = ports_.clock.now();
     round_cost_ = last_round_ - now;
-    if (next_idle_round_ <= now)
+    if (!decided.complete)
+    {
+        schedule_round();
+    }
+    if (is_idle_round)
     {
         next_idle_round_ = now + settings_.idle_round_interval;
         ports_.clock.after(
@@ -292,7 +306,7 @@
     std::size_t usable = 0;
     resources used;
     resources capacity;
-    for (const auto& [id, worker] : workers_.all())
+    for (const worker_entry* worker : workers_.all())
     {
         runs += worker->runs.size();
         usable += workers_.is_usable(*worker, ports_.clock.now()) ? 1 : 0;
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -6,6 +6,7 @@
 #include "fleet/advice_dispatcher.hpp"
 #include "fleet/job_tracker.hpp"
 #include "fleet/planner.hpp"
+#include "fleet/poll_schedule.hpp"
 #include "fleet/ports.hpp"
 #include "fleet/worker_table.hpp"
 
@@ -207,6 +208,7 @@
     /// Adds records for workers that are absent and withdraws those of workers
     /// that have returned.
     void update_absence_records();
+    void update_absence_record(worker_entry& worker, bool leases_ended);
     /// Withdraws records of workers whose removal from the registry is further
     /// back than a new owner scans.
     void prune_absence_records();
@@ -264,7 +266,15 @@
     /// long poll (`worker_orders::hold`) that returns the worker's running and
     /// ended runs, renews its lease and acknowledges stored ends.
     void poll_workers();
+    /// Polls the worker if it needs a status poll and none is in flight;
+    /// schedules the poll if it is not due yet.
+    void poll_if_due(worker_entry& worker);
     void poll_worker(worker_entry& worker);
+    /// Makes `poll_workers` consider the worker when its next poll is due.
+    void schedule_poll(const worker_entry& worker)
+    {
+        polls_.add(worker.handle, worker.next_hold);
+    }
     void on_worker_status(
         const worker_id& id,
         instant sent_at,
@@ -338,6 +348,7 @@
     std::uint64_t token_;
     job_tracker jobs_;
     worker_table workers_;
+    poll_schedule polls_;
     planner planner_;
     advice_dispatcher dispatcher_;
     account_rate_limiter rates_;
--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -40,7 +40,7 @@
             worker = &workers_.add_unlisted(
                 {id, absence.address, absence.incarnation}, registry_next_);
         }
-        worker->reachable = false;
+        workers_.set_unreachable(*worker);
         worker->lease_expired_at = inherited_leases_end_;
         for (const auto& [task, number] : absence.runs)
         {
@@ -72,39 +72,12 @@
 void fleet_owner::update_absence_records()
 {
     const bool leases_ended = inherited_may_start();
-    for (const auto& [id, worker] : workers_.all())
+    for (worker_entry* worker : workers_.out_of_sight())
     {
-        const bool in_sight =
-            worker->listed && worker->reachable && worker->sealed;
-        // The worker's possible runs are known once it has reported its status,
-        // if an earlier owner recorded them, or once all earlier leases have
-        // expired.
-        const bool known =
-            worker->sealed || leases_ended || absences_.find(id) != nullptr;
-        if (in_sight)
-        {
-            absences_.remove_absence(id);
-        }
-        else if (known && (!worker->listed || !worker->reachable))
-        {
-            absence_record absence;
-            absence.incarnation = worker->registration.incarnation;
-            absence.address = worker->registration.address;
-            for (const auto& [task, run] : worker->runs)
-            {
-                absence.runs.emplace_back(task, run.run);
-            }
-            if (absences_.record_absence(id, absence))
-            {
-                ports_.events.emit(
-                    {event_number::worker_noted,
-                     {{"worker", id.str()},
-                      {"runs", std::to_string(absence.runs.size())},
-                      {"listed", worker->listed ? "yes" : "no"}}});
-            }
-        }
-        worker->has_absence_record = absences_.is_recorded(id);
+        update_absence_record(*worker, leases_ended);
     }
+    workers_.prune_out_of_sight([](const worker_entry& worker)
+                                { return !worker.has_absence_record; });
     if (!leases_ended)
     {
         return;
@@ -120,6 +93,39 @@
     }
 }
 
+void fleet_owner::update_absence_record(worker_entry& worker, bool leases_ended)
+{
+    const worker_id& id = worker.registration.id;
+    const bool in_sight = worker.listed && worker.reachable && worker.sealed;
+    // The worker's possible runs are known once it has reported its status, if
+    // an earlier owner recorded them, or once all earlier leases have expired.
+    const bool known =
+        worker.sealed || leases_ended || absences_.find(id) != nullptr;
+    if (in_sight)
+    {
+        absences_.remove_absence(id);
+    }
+    else if (known && (!worker.listed || !worker.reachable))
+    {
+        absence_record absence;
+        absence.incarnation = worker.registration.incarnation;
+        absence.address = worker.registration.address;
+        for (const auto& [task, run] : worker.runs)
+        {
+            absence.runs.emplace_back(task, run.run);
+        }
+        if (absences_.record_absence(id, absence))
+        {
+            ports_.events.emit(
+                {event_number::worker_noted,
+                 {{"worker", id.str()},
+                  {"runs", std::to_string(absence.runs.size())},
+                  {"listed", worker.listed ? "yes" : "no"}}});
+        }
+    }
+    worker.has_absence_record = absences_.is_recorded(id);
+}
+
 void fleet_owner::prune_absence_records()
 {
     const auto is_past = [&](log_offset dropped_at)
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -192,8 +192,9 @@
         apply_registration(record);
     }
     restore_absent_workers();
-    for (const auto& [id, worker] : workers_.all())
+    for (const worker_entry* worker : workers_.all())
     {
+        const worker_id& id = worker->registration.id;
         if (absences_.find(id) == nullptr)
         {
             unsealed_workers_.insert(id);
@@ -433,7 +434,7 @@
     if (workers_.upsert(*registration))
     {
         worker_entry* worker = workers_.find(registration->id);
-        worker->sealed = false; // A new process has not seen the token.
+        workers_.unseal(*worker); // A new process has not seen the token.
         worker->next_hold = {};
         if (loaded_ && before == nullptr && !inherited_may_start())
         {
@@ -441,6 +442,7 @@
             unsealed_workers_.insert(registration->id);
         }
     }
+    schedule_poll(*workers_.find(registration->id));
     if (registration->draining && !was_draining)
     {
         ports_.events.emit(
@@ -498,8 +500,9 @@
                         listed.insert(worker_id(record.key));
                         self.apply_registration(record);
                     }
-                    for (const auto& [id, worker] : self.workers_.all())
+                    for (const worker_entry* worker : self.workers_.all())
                     {
+                        const worker_id& id = worker->registration.id;
                         if (worker->listed && !listed.contains(id))
                         {
                             self.workers_.unlist(id, page->end);
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -41,13 +41,12 @@
             {0, job->job.id.str(), encode(jobs_.progress_of(*job))});
         batch->states.emplace_back(job->job.id, job->state);
     }
-    for (const auto& [id, worker] : workers_.all())
+    for (const worker_entry* worker : workers_.take_pending_ends())
     {
-        if (worker->processed > worker->acknowledged)
-        {
-            batch->ends.push_back(
-                {id, worker->registration.incarnation, worker->processed});
-        }
+        batch->ends.push_back(
+            {worker->registration.id,
+             worker->registration.incarnation,
+             worker->processed});
     }
     for (store_record& record : absences_.take_changes())
     {
@@ -139,6 +138,7 @@
         {
             worker->acknowledged = std::max(worker->acknowledged, each.last);
             worker->next_hold = {};
+            schedule_poll(*worker);
         }
     }
     for (const auto& waiter : batch->waiters)
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -89,7 +89,7 @@
         run.confirmed = now;
         ports_.metrics.sample(
             "fleet_start_ms", "", static_cast<double>((now - sent_at).count()));
-        poll_workers();
+        poll_if_due(*worker);
         return;
     }
     ports_.events.emit(
@@ -102,8 +102,9 @@
     if (answer.error().effect == verdict::not_run &&
         run.state == run_entry::phase::starting && !is_retry)
     {
-        worker->reachable = false;
+        workers_.set_unreachable(*worker);
         worker->next_hold = now;
+        schedule_poll(*worker);
         undo_start(
             decision, "the worker of another run of the gang is unreachable");
         schedule_round();
@@ -115,7 +116,7 @@
         send_start(decision, true);
         return;
     }
-    worker->reachable = false;
+    workers_.set_unreachable(*worker);
     mark_uncertain(*worker, run, now);
 }
 
@@ -128,6 +129,7 @@
         run.confirmed = now;
     }
     worker.next_hold = now;
+    schedule_poll(worker);
     schedule_round();
 }
 
@@ -170,6 +172,7 @@
         "fleet_starts_refused", names[static_cast<std::size_t>(reason)], 1);
     undo_start(decision, "the start of another run of the gang was refused");
     worker.next_hold = now;
+    schedule_poll(worker);
     switch (reason)
     {
     case start_refusal::fenced:
@@ -180,7 +183,7 @@
     case start_refusal::permit:
         if (step_entry* step = jobs_.find(decision.task.step))
         {
-            step->permits.allowed[worker.registration.id].until = {};
+            step->permits.expire(worker.handle);
         }
         return;
     case start_refusal::no_room:
@@ -189,7 +192,7 @@
         worker.quarantined_until = now + settings_.refused_start_pause;
         return;
     case start_refusal::other_incarnation:
-        worker.sealed = false;
+        workers_.unseal(worker);
         return;
     case start_refusal::superseded:
     case start_refusal::too_late:
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -20,20 +20,34 @@
 
 void fleet_owner::poll_workers()
 {
-    const instant now = ports_.clock.now();
-    for (const auto& [id, worker] : workers_.all())
+    for (const worker_handle due : polls_.take_due(ports_.clock.now()))
     {
-        const bool wanted = !worker->sealed || !worker->reachable ||
-                            !worker->runs.empty() ||
-                            worker->processed > worker->acknowledgement_sent;
-        if (wanted && !worker->hold_in_flight && worker->next_hold <= now &&
-            (worker->listed || !worker->runs.empty()))
+        if (worker_entry* worker = workers_.at(due))
         {
-            poll_worker(*worker);
+            poll_if_due(*worker);
         }
     }
 }
 
+void fleet_owner::poll_if_due(worker_entry& worker)
+{
+    const bool needed = !worker.sealed || !worker.reachable ||
+                        !worker.runs.empty() ||
+                        worker.processed > worker.acknowledgement_sent;
+    // The end of the call in flight schedules the next poll.
+    if (!needed || worker.hold_in_flight ||
+        (!worker.listed && worker.runs.empty()))
+    {
+        return;
+    }
+    if (worker.next_hold > ports_.clock.now())
+    {
+        schedule_poll(worker);
+        return;
+    }
+    poll_worker(worker);
+}
+
 void fleet_owner::poll_worker(worker_entry& worker)
 {
     const instant now = ports_.clock.now();
@@ -99,6 +113,7 @@
         worker->acknowledgement_sent =
             std::max(worker->acknowledgement_sent, acknowledged);
         apply_status(*worker, sent_at, *status);
+        schedule_poll(*worker);
         schedule_round();
         return;
     }
@@ -111,7 +126,7 @@
     }
     if (worker->reachable)
     {
-        worker->reachable = false;
+        workers_.set_unreachable(*worker);
         ports_.events.emit(
             {event_number::worker_silent,
              {{"worker", id.str()},
@@ -124,6 +139,7 @@
               {"reason", status.error().message}}});
     }
     worker->next_hold = now + settings_.worker_retry_delay;
+    schedule_poll(*worker);
     ports_.clock.after(
         settings_.worker_retry_delay,
         guarded([](fleet_owner& self) { self.schedule_round(); }));
@@ -133,13 +149,14 @@
     worker_entry& worker, instant sent_at, const worker_status& status)
 {
     const instant now = ports_.clock.now();
-    std::set<std::pair<task_ref, run_number>> listed;
-    for (const running_run& each : status.running)
-    {
-        listed.emplace(each.task, each.run);
-    }
+    ++worker.status_count;
     if (status.incarnation != worker.registration.incarnation)
     {
+        std::set<std::pair<task_ref, run_number>> listed;
+        for (const running_run& each : status.running)
+        {
+            listed.emplace(each.task, each.run);
+        }
         if (worker.sealed || !worker.runs.empty())
         {
             ports_.events.emit(
@@ -193,7 +210,7 @@
             return;
         }
         apply_end(worker, each);
-        worker.processed = each.number;
+        workers_.note_processed(worker, each.number);
         worker.next_hold =
             std::max(worker.next_hold, now + settings_.end_ack_wait);
     }
@@ -208,7 +225,7 @@
 
 void fleet_owner::defer_unread_job(worker_entry& worker, const job_id& id)
 {
-    worker.sealed = false;
+    workers_.unseal(worker);
     unread_jobs_[id].insert(worker.registration.id);
 }
 
@@ -237,6 +254,7 @@
     if (at != worker.runs.end() && at->second.run == running.run)
     {
         run_entry& run = at->second;
+        run.listed_in = worker.status_count;
         run.percent = running.percent;
         if (!running.checkpoint.empty())
         {
@@ -258,6 +276,7 @@
     run.run = running.run;
     run.checkpoint = running.checkpoint;
     run.state = run_entry::phase::running;
+    run.listed_in = worker.status_count;
     run.started = ports_.clock.now();
     if (job != nullptr &&
         running.task.step.step < job->job.request.steps.size())
@@ -357,16 +376,11 @@
     {
         return;
     }
-    std::set<std::pair<task_ref, run_number>> listed;
-    for (const running_run& each : status.running)
-    {
-        listed.emplace(each.task, each.run);
-    }
     std::vector<std::pair<task_ref, run_number>> missing;
     std::vector<task_ref> to_stop;
     for (auto& [task, run] : worker.runs)
     {
-        if (listed.contains({task, run.run}))
+        if (run.listed_in == worker.status_count)
         {
             continue;
         }
@@ -445,7 +459,7 @@
         }
         unread_jobs_.clear();
     }
-    for (const auto& [id, worker] : workers_.all())
+    for (worker_entry* worker : workers_.out_of_sight())
     {
         if (!worker->reachable && !worker->runs.empty() &&
             worker->lease_expired_at <= now)
@@ -503,6 +517,7 @@
                 {
                     at->second.stop_answered = self.ports_.clock.now();
                     target->next_hold = {};
+                    self.schedule_poll(*target);
                     self.schedule_round();
                     return;
                 }
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -1,8 +1,10 @@
 #include "fleet/planner.hpp"
 
+#include <absl/hash/hash.h>
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 
 namespace acaciastile::fleet
 {
@@ -44,20 +46,32 @@
 /// combined into a request's priority.
 constexpr std::uint32_t priority_levels = 1'000;
 
+/// How often `each` fits into the available amount; no limit if `each` is zero.
+std::int64_t
+times_that_fit(std::int64_t available, std::int64_t each, std::int64_t limit)
+{
+    return each <= 0        ? limit
+           : available <= 0 ? 0
+                            : std::min(limit, available / each);
+}
+
 /// Number of a gang's members that fit into the resources of one worker,
 /// limited by the step's maximum per worker.
 std::int64_t members_that_fit(
-    resources available, const step_spec& spec, const resources& each)
+    const resources& available, const step_spec& spec, const resources& each)
 {
-    const std::int64_t max_members =
+    std::int64_t members =
         spec.max_per_worker > 0 ? spec.max_per_worker : spec.count;
-    std::int64_t members = 0;
-    while (members < max_members && each.fits_in(available))
-    {
-        available -= each;
-        ++members;
-    }
-    return members;
+    members = times_that_fit(
+        available.milli_processors, each.milli_processors, members);
+    members = times_that_fit(available.memory_mib, each.memory_mib, members);
+    return times_that_fit(available.accelerators, each.accelerators, members);
+}
+
+/// Spreads the searches of different steps over similar workers.
+std::size_t rotation_of(const step_id& step)
+{
+    return absl::HashOf(step.job.str(), step.step);
 }
 
 } // namespace
@@ -80,10 +94,11 @@
     step_entry* step = nullptr;
     const step_spec* spec = nullptr;
     const queue_settings* queue = nullptr;
+    const account_settings* account = nullptr; ///< Null if not configured.
     resources needs;
     /// Active tasks of this step on each worker; only set if the step limits
     /// the number of its tasks per worker.
-    std::map<worker_id, std::uint32_t> on_worker;
+    std::map<worker_handle, std::uint32_t> on_worker;
     bool at_cap = false; ///< The account's resource cap is reached.
     urgency_class urgency = urgency_class::in_time;
 
@@ -96,6 +111,10 @@
     {
         return queue->advice.has_value();
     }
+    [[nodiscard]] bool has_cap() const
+    {
+        return account != nullptr && !account->cap.is_zero();
+    }
 };
 
 /// State of one call of `decide`.
@@ -106,20 +125,10 @@
     const configuration& config;
     instant now;
     permit_request_budget budget;
+    std::uint64_t number = 0;
     plan decided;
-    std::map<service_name, std::vector<worker_entry*>> usable;
-    /// A worker reserved for a gang; steps of a better rank may still use it.
-    struct reservation
-    {
-        step_id step;
-        std::pair<urgency_class, std::uint32_t> rank;
-    };
-    std::map<worker_id, reservation> reserved;
-
-    void reserve(const worker_id& worker, const candidate& step)
-    {
-        reserved.emplace(worker, reservation{step.step->id, step.rank()});
-    }
+    /// Steps and workers examined so far.
+    std::size_t examined = 0;
 };
 
 plan planner::decide(
@@ -130,49 +139,108 @@
     bool inherited_may_start,
     permit_request_budget budget)
 {
-    planning_pass pass{jobs, workers, config, now, budget, {}, {}, {}};
-    for (const auto& [id, worker] : workers.all())
+    planning_pass pass{
+        jobs, workers, config, now, budget, ++pass_count_, {}, 0};
+    reservations_.resize(workers.handle_count());
+    std::vector<candidate> waiting =
+        collect_candidates(pass, inherited_may_start);
+    std::erase_if(
+        reserved_workers_,
+        [&](const auto& each)
+        {
+            const step_entry* step = jobs.find(each.first);
+            const job_entry* job = jobs.find(each.first.job);
+            return step == nullptr || job->is_final() || step->waiting == 0;
+        });
+    if (!reserved_workers_.empty())
+    {
+        for (const candidate& step : waiting)
+        {
+            const auto reserved = reserved_workers_.find(step.step->id);
+            if (reserved != reserved_workers_.end())
+            {
+                for (const worker_handle worker : reserved->second)
+                {
+                    reserve(pass, worker, step);
+                }
+            }
+        }
+    }
+    for (candidate& step : waiting)
     {
-        if (workers.is_usable(*worker, now))
+        if (pass.examined > settings_.max_examined)
         {
-            pass.usable[worker->registration.service].push_back(worker.get());
+            pass.decided.complete = false;
+            break;
         }
+        ++pass.examined;
+        place_step(pass, step);
+    }
+    pass.decided.examined = pass.examined;
+    return std::move(pass.decided);
+}
+
+std::vector<planner::candidate>
+planner::collect_candidates(planning_pass& pass, bool inherited_may_start)
+{
+    std::vector<const queue_settings*> queues;
+    for (const queue_name& name : pass.jobs.queue_names())
+    {
+        queues.push_back(pass.config.find(name));
+    }
+    std::vector<const account_settings*> accounts;
+    for (const account_name& name : pass.jobs.account_names())
+    {
+        accounts.push_back(pass.config.find(name));
     }
-    std::vector<candidate> waiting;
-    for (job_entry* job : jobs.open())
+    std::vector<candidate> found;
+    for (job_entry* job : pass.jobs.open())
     {
         if (job->has_unreconciled_runs ||
             (job->inherited && !inherited_may_start))
         {
             continue;
         }
-        const queue_settings* queue =
-            &effective_queue_settings(config, job->job);
+        const queue_settings* queue = queues[job->queue_index];
+        if (queue == nullptr)
+        {
+            queue = &job->job.settings_at_acceptance;
+        }
         for (auto& steps : job->occurrences)
         {
             for (step_entry& step : steps)
             {
-                if (step.waiting > 0 && jobs.is_ready(*job, step))
+                if (step.waiting == 0 || !pass.jobs.is_ready(*job, step))
+                {
+                    continue;
+                }
+                if (pass.now >= step.limits_valid_until)
                 {
-                    const step_spec& spec = job->spec(step.id);
-                    candidate found;
-                    found.job = job;
-                    found.step = &step;
-                    found.spec = &spec;
-                    found.queue = queue;
-                    found.needs = resources_needed(spec);
-                    found.urgency = urgency_of(
-                        *job, step.id.occurrence, *queue, run_times_, now);
-                    waiting.push_back(std::move(found));
+                    step.limits =
+                        limits_of(*job, step.id.occurrence, *queue, run_times_);
+                    step.limits_valid_until =
+                        pass.now + settings_.urgency_refresh;
                 }
+                candidate& added = found.emplace_back();
+                added.job = job;
+                added.step = &step;
+                added.spec = &job->spec(step.id);
+                added.queue = queue;
+                added.account = accounts[job->account_index];
+                added.needs = resources_needed(*added.spec);
+                added.urgency = urgency_of(*job, step.limits, pass.now);
             }
         }
     }
+    std::vector<std::uint32_t> order(found.size());
+    std::iota(order.begin(), order.end(), 0U);
     std::sort(
-        waiting.begin(),
-        waiting.end(),
-        [](const candidate& left, const candidate& right)
+        order.begin(),
+        order.end(),
+        [&](std::uint32_t first, std::uint32_t second)
         {
+            const candidate& left = found[first];
+            const candidate& right = found[second];
             if (left.rank() != right.rank())
             {
                 return left.rank() < right.rank();
@@ -183,30 +251,13 @@
             }
             return left.step->id < right.step->id;
         });
-    std::erase_if(
-        reserved_workers_,
-        [&](const auto& each)
-        {
-            const step_entry* step = jobs.find(each.first);
-            const job_entry* job = jobs.find(each.first.job);
-            return step == nullptr || job->is_final() || step->waiting == 0;
-        });
-    for (const candidate& step : waiting)
+    std::vector<candidate> ordered;
+    ordered.reserve(found.size());
+    for (const std::uint32_t at : order)
     {
-        const auto reserved = reserved_workers_.find(step.step->id);
-        if (reserved != reserved_workers_.end())
-        {
-            for (const worker_id& worker : reserved->second)
-            {
-                pass.reserve(worker, step);
-            }
-        }
+        ordered.push_back(std::move(found[at]));
     }
-    for (candidate& step : waiting)
-    {
-        place_step(pass, step);
-    }
-    return std::move(pass.decided);
+    return ordered;
 }
 
 void planner::place_step(planning_pass& pass, candidate& step)
@@ -215,9 +266,12 @@
     {
         for (const task_entry& task : step.step->tasks)
         {
-            if (task.state == task_entry::phase::active)
+            const worker_entry* worker = task.state == task_entry::phase::active
+                                             ? pass.workers.find(task.worker)
+                                             : nullptr;
+            if (worker != nullptr)
             {
-                ++step.on_worker[task.worker];
+                ++step.on_worker[worker->handle];
             }
         }
     }
@@ -243,60 +297,60 @@
     {
         return true;
     }
-    const auto at = step.on_worker.find(worker.registration.id);
+    const auto at = step.on_worker.find(worker.handle);
     return at == step.on_worker.end() || at->second < step.spec->max_per_worker;
 }
 
 bool planner::may_run(
     const planning_pass& pass,
     const candidate& step,
-    const worker_entry& worker,
-    bool need_permit) const
+    const worker_entry& worker) const
 {
-    if (!step.spec->required_label.empty() &&
-        !worker.has_label(step.spec->required_label))
+    if (!pass.workers.is_usable(worker, pass.now) ||
+        worker.registration.service != step.queue->service ||
+        (!step.spec->required_label.empty() &&
+         !worker.has_label(step.spec->required_label)))
     {
         return false;
     }
-    const auto reserved = pass.reserved.find(worker.registration.id);
-    if (reserved != pass.reserved.end() &&
-        reserved->second.step != step.step->id &&
-        reserved->second.rank <= step.rank())
+    const reservation& reserved = reservations_[worker.handle];
+    if (reserved.pass == pass.number && reserved.step != step.step &&
+        reserved.rank <= step.rank())
     {
         return false;
     }
-    if (!below_worker_limit(step, worker))
-    {
-        return false;
-    }
-    if (!step.requires_permits() || !need_permit)
+    return below_worker_limit(step, worker);
+}
+
+bool planner::is_valid(
+    const planning_pass& pass,
+    const step_permits::grant& grant,
+    const worker_entry& worker) const
+{
+    return grant.until > pass.now + settings_.permit_expiry_margin &&
+           grant.incarnation == worker.registration.incarnation;
+}
+
+void planner::reserve(
+    planning_pass& pass, worker_handle worker, const candidate& step)
+{
+    reservation& entry = reservations_[worker];
+    if (entry.pass != pass.number)
     {
-        return true;
+        entry = {pass.number, step.step, step.rank()};
     }
-    const auto& allowed = step.step->permits.allowed;
-    const auto at = allowed.find(worker.registration.id);
-    return at != allowed.end() &&
-           at->second.until > pass.now + settings_.permit_expiry_margin &&
-           at->second.incarnation == worker.registration.incarnation;
 }
 
 std::vector<worker_entry*>
 planner::permitted_workers(planning_pass& pass, const candidate& step) const
 {
     std::vector<worker_entry*> found;
-    if (step.requires_permits() && step.step->permits.allowed.empty())
-    {
-        return found;
-    }
-    const auto usable = pass.usable.find(step.queue->service);
-    if (usable == pass.usable.end())
-    {
-        return found;
-    }
-    for (worker_entry* worker : usable->second)
+    for (const step_permits::grant& grant : step.step->permits.allowed)
     {
-        if (step.needs.fits_in(worker->free_resources()) &&
-            may_run(pass, step, *worker, true))
+        ++pass.examined;
+        worker_entry* worker = pass.workers.at(grant.worker);
+        if (worker != nullptr && step.needs.fits_in(worker->free_resources()) &&
+            is_valid(pass, grant, *worker) && may_run(pass, step, *worker))
         {
             found.push_back(worker);
         }
@@ -321,47 +375,106 @@
     return score;
 }
 
-void planner::place_tasks(planning_pass& pass, candidate& step)
+worker_entry* planner::best_worker(
+    planning_pass& pass,
+    const candidate& step,
+    std::uint32_t index,
+    const std::vector<worker_entry*>& permitted) const
 {
-    const account_settings* account = pass.config.find(step.job->job.account);
-    const std::vector<worker_entry*> permitted = permitted_workers(pass, step);
-    for (std::uint32_t index = 0; index < step.step->tasks.size(); ++index)
+    const task_entry& task = step.step->tasks[index];
+    worker_entry* best = nullptr;
+    double best_score = std::numeric_limits<double>::max();
+    const auto compare = [&](worker_entry* worker)
     {
-        const task_entry& task = step.step->tasks[index];
-        if (task.state != task_entry::phase::waiting)
+        ++pass.examined;
+        // An earlier run of the task may still be active on a worker.
+        if (!step.needs.fits_in(worker->free_resources()) ||
+            !below_worker_limit(step, *worker) ||
+            (task.run != 0 && worker->runs.contains({step.step->id, index})))
         {
-            continue;
+            return;
         }
-        if (account != nullptr &&
-            !within_cap(
-                pass.workers.used_by(account->name) + step.needs, account->cap))
+        const double worker_score = score(step, task, *worker);
+        if (worker_score < best_score)
         {
-            step.at_cap = true;
-            return;
+            best_score = worker_score;
+            best = worker;
         }
-        worker_entry* best = nullptr;
-        double best_score = std::numeric_limits<double>::max();
+    };
+    if (step.requires_permits())
+    {
         for (worker_entry* worker : permitted)
         {
-            if (!step.needs.fits_in(worker->free_resources()) ||
-                !below_worker_limit(step, *worker) ||
-                worker->runs.contains({step.step->id, index}))
+            compare(worker);
+        }
+        return best;
+    }
+    if (!step.spec->data_rack.empty())
+    {
+        for (worker_entry* worker :
+             pass.workers.in_rack(rack_name(step.spec->data_rack)))
+        {
+            if (may_run(pass, step, *worker))
             {
-                continue;
+                compare(worker);
             }
-            const double worker_score = score(step, task, *worker);
-            if (worker_score < best_score)
+        }
+    }
+    if (const impl::fit_index* free =
+            pass.workers.free_capacity(step.queue->service))
+    {
+        std::size_t compared = 0;
+        free->visit(
+            step.needs,
+            [&](const impl::fit_index::candidate& each)
             {
-                best_score = worker_score;
-                best = worker;
-            }
+                worker_entry* worker = pass.workers.at(each.worker);
+                if (worker != nullptr && may_run(pass, step, *worker))
+                {
+                    compare(worker);
+                    ++compared;
+                }
+                return compared < settings_.max_compared_workers;
+            });
+    }
+    return best;
+}
+
+void planner::place_tasks(planning_pass& pass, candidate& step)
+{
+    std::vector<worker_entry*> permitted;
+    if (step.requires_permits())
+    {
+        permitted = permitted_workers(pass, step);
+        if (permitted.empty())
+        {
+            return;
         }
+    }
+    for (std::uint32_t index = 0; index < step.step->tasks.size(); ++index)
+    {
+        if (step.step->tasks[index].state != task_entry::phase::waiting)
+        {
+            continue;
+        }
+        if (step.has_cap() &&
+            !within_cap(
+                pass.workers.used_by(step.account->name) + step.needs,
+                step.account->cap))
+        {
+            step.at_cap = true;
+            return;
+        }
+        worker_entry* best = best_worker(pass, step, index, permitted);
         if (best == nullptr)
         {
             return;
         }
         start(pass, step, index, pass.jobs.next_run(*step.job), *best);
-        ++step.on_worker[best->registration.id];
+        if (step.spec->max_per_worker > 0)
+        {
+            ++step.on_worker[best->handle];
+        }
     }
 }
 
@@ -380,8 +493,9 @@
     decision.checkpoint = task.checkpoint;
     if (step.requires_permits())
     {
-        decision.ticket =
-            step.step->permits.allowed[worker.registration.id].ticket;
+        const step_permits::grant* grant =
+            step.step->permits.find(worker.handle);
+        decision.ticket = grant == nullptr ? std::string() : grant->ticket;
     }
     run_entry entry;
     entry.task = decision.task;
@@ -399,26 +513,59 @@
     planning_pass& pass,
     candidate& step,
     bool need_permits,
-    const std::string& rack)
+    const rack_name* rack)
 {
-    const auto usable = pass.usable.find(step.queue->service);
-    if (usable == pass.usable.end())
-    {
-        return {};
-    }
     std::vector<worker_entry*> fitting;
-    for (worker_entry* worker : usable->second)
+    const std::size_t members = step.step->tasks.size();
+    std::size_t places_found = 0;
+    const auto consider = [&](worker_entry* worker)
     {
-        if ((rack.empty() || worker->registration.rack.str() == rack) &&
+        ++pass.examined;
+        if (worker != nullptr &&
+            (rack == nullptr || worker->registration.rack == *rack) &&
             step.needs.fits_in(worker->free_resources()) &&
-            (need_permits ||
-             step.step->permits.allowed.contains(worker->registration.id) ||
-             !step.requires_permits()) &&
-            may_run(pass, step, *worker, need_permits))
+            may_run(pass, step, *worker))
         {
             fitting.push_back(worker);
+            places_found += static_cast<std::size_t>(members_that_fit(
+                worker->free_resources(), *step.spec, step.needs));
+        }
+    };
+    if (step.requires_permits())
+    {
+        for (const step_permits::grant& grant : step.step->permits.allowed)
+        {
+            worker_entry* worker = pass.workers.at(grant.worker);
+            if (worker != nullptr &&
+                (!need_permits || is_valid(pass, grant, *worker)))
+            {
+                consider(worker);
+            }
         }
     }
+    else if (rack != nullptr)
+    {
+        for (worker_entry* worker : pass.workers.in_rack(*rack))
+        {
+            consider(worker);
+        }
+    }
+    else if (
+        const impl::fit_index* free =
+            pass.workers.free_capacity(step.queue->service))
+    {
+        free->visit(
+            step.needs,
+            [&](const impl::fit_index::candidate& each)
+            {
+                consider(pass.workers.at(each.worker));
+                return places_found < members;
+            });
+    }
+    if (places_found < members)
+    {
+        return {};
+    }
     std::stable_sort(
         fitting.begin(),
         fitting.end(),
@@ -430,51 +577,67 @@
                        right->free_resources(), right->registration.capacity);
         });
     std::vector<worker_entry*> places;
+    places.reserve(members);
     for (worker_entry* worker : fitting)
     {
         const auto here = static_cast<std::size_t>(
             members_that_fit(worker->free_resources(), *step.spec, step.needs));
         places.insert(
-            places.end(),
-            std::min(here, step.step->tasks.size() - places.size()),
-            worker);
+            places.end(), std::min(here, members - places.size()), worker);
     }
-    return places.size() == step.step->tasks.size()
-               ? places
-               : std::vector<worker_entry*>{};
+    return places;
+}
+
+std::vector<worker_entry*>
+planner::fit_gang_into_rack(planning_pass& pass, candidate& step)
+{
+    std::set<rack_name> racks;
+    if (step.requires_permits())
+    {
+        for (const step_permits::grant& grant : step.step->permits.allowed)
+        {
+            if (const worker_entry* worker = pass.workers.at(grant.worker))
+            {
+                racks.insert(worker->registration.rack);
+            }
+        }
+    }
+    else
+    {
+        for (const worker_entry* worker : pass.workers.all())
+        {
+            racks.insert(worker->registration.rack);
+        }
+    }
+    for (const rack_name& rack : racks)
+    {
+        std::vector<worker_entry*> places = fit_gang(pass, step, true, &rack);
+        if (!places.empty())
+        {
+            return places;
+        }
+    }
+    return {};
 }
 
 bool planner::place_gang(planning_pass& pass, candidate& step)
 {
-    const account_settings* account = pass.config.find(step.job->job.account);
     const auto count = static_cast<std::int64_t>(step.step->tasks.size());
-    if (account != nullptr &&
+    if (step.has_cap() &&
         !within_cap(
-            pass.workers.used_by(account->name) + step.needs * count,
-            account->cap))
+            pass.workers.used_by(step.account->name) + step.needs * count,
+            step.account->cap))
     {
         return false;
     }
     std::vector<worker_entry*> places;
     if (step.spec->one_rack)
     {
-        std::set<std::string> racks;
-        for (worker_entry* worker : pass.usable[step.queue->service])
-        {
-            racks.insert(worker->registration.rack.str());
-        }
-        for (const std::string& rack : racks)
-        {
-            places = fit_gang(pass, step, true, rack);
-            if (!places.empty())
-            {
-                break;
-            }
-        }
+        places = fit_gang_into_rack(pass, step);
     }
     if (places.empty())
     {
-        places = fit_gang(pass, step, true, {});
+        places = fit_gang(pass, step, true, nullptr);
     }
     if (!places.empty())
     {
@@ -486,19 +649,23 @@
         reserved_workers_.erase(step.step->id);
         return true;
     }
-    const std::vector<worker_entry*> fitting = fit_gang(pass, step, false, {});
+    const std::vector<worker_entry*> fitting =
+        fit_gang(pass, step, false, nullptr);
     if (fitting.empty())
     {
         reserve_workers(pass, step);
     }
     else
     {
-        std::set<worker_id>& reserved = reserved_workers_[step.step->id];
+        std::vector<worker_handle>& reserved = reserved_workers_[step.step->id];
         reserved.clear();
-        for (worker_entry* worker : fitting)
+        for (const worker_entry* worker : fitting)
         {
-            reserved.insert(worker->registration.id);
-            pass.reserve(worker->registration.id, step);
+            if (reserved.empty() || reserved.back() != worker->handle)
+            {
+                reserved.push_back(worker->handle);
+                reserve(pass, worker->handle, step);
+            }
         }
     }
     if (step.requires_permits())
@@ -513,21 +680,32 @@
     const bool has_allowed_workers =
         !step.requires_permits() || !step.step->permits.allowed.empty();
     if (!has_allowed_workers || step.urgency != urgency_class::in_time ||
-        reserved_workers_.contains(step.step->id) ||
-        reserved_workers_.size() >= settings_.max_reserving_gangs)
+        reserved_workers_.size() >= settings_.max_reserving_gangs ||
+        reserved_workers_.contains(step.step->id))
     {
         return;
     }
     std::vector<worker_entry*> reservable;
-    for (worker_entry* worker : pass.usable[step.queue->service])
+    const auto consider = [&](worker_entry* worker)
     {
-        if (may_run(pass, step, *worker, false) &&
-            !pass.reserved.contains(worker->registration.id) &&
-            (!step.requires_permits() ||
-             step.step->permits.allowed.contains(worker->registration.id)))
+        ++pass.examined;
+        if (worker != nullptr && may_run(pass, step, *worker) &&
+            reservations_[worker->handle].pass != pass.number)
         {
             reservable.push_back(worker);
         }
+    };
+    if (step.requires_permits())
+    {
+        for (const step_permits::grant& grant : step.step->permits.allowed)
+        {
+            consider(pass.workers.at(grant.worker));
+        }
+    }
+    else
+    {
+        std::for_each(
+            pass.workers.all().begin(), pass.workers.all().end(), consider);
     }
     std::stable_sort(
         reservable.begin(),
@@ -540,81 +718,106 @@
                        right->free_resources(), right->registration.capacity);
         });
     std::size_t members = 0;
-    std::set<worker_id> reserved;
-    for (worker_entry* worker : reservable)
+    std::vector<worker_handle> reserved;
+    for (const worker_entry* worker : reservable)
     {
         if (members >= step.step->tasks.size())
         {
             break;
         }
-        for (resources left = worker->registration.capacity;
-             step.needs.fits_in(left);
-             left -= step.needs)
-        {
-            ++members;
-        }
-        reserved.insert(worker->registration.id);
+        members += static_cast<std::size_t>(members_that_fit(
+            worker->registration.capacity, *step.spec, step.needs));
+        reserved.push_back(worker->handle);
     }
     if (members < step.step->tasks.size())
     {
         return; // The gang would not fit even on all of these workers.
     }
-    for (const worker_id& worker : reserved)
+    for (const worker_handle worker : reserved)
     {
-        pass.reserve(worker, step);
+        reserve(pass, worker, step);
     }
     reserved_workers_[step.step->id] = std::move(reserved);
 }
 
+bool planner::may_request_permits(
+    const planning_pass& pass, const candidate& step) const
+{
+    const step_permits& permits = step.step->permits;
+    const policy_timing& timing = *step.queue->advice;
+    const bool always_long =
+        timing.base + timing.per_worker > pass.budget.longest_short_request;
+    return !permits.request_in_flight && pass.now >= permits.retry_not_before &&
+           (pass.budget.long_requests > 0 ||
+            (pass.budget.short_requests > 0 && !always_long));
+}
+
 void planner::request_task_permits(planning_pass& pass, candidate& step)
 {
-    step_permits& permits = step.step->permits;
-    if (permits.request_in_flight || pass.now < permits.retry_not_before)
+    if (!may_request_permits(pass, step))
     {
         return;
     }
+    const step_permits& permits = step.step->permits;
     const double share = allowed_share_of(step.queue->name);
-    std::vector<worker_id> named;
+    std::vector<const worker_entry*> named;
     double expected_permits = 0;
     const double wanted_permits = step.step->waiting;
-    auto add_workers = [&](bool previously_allowed)
+    const auto is_enough = [&]
+    {
+        return expected_permits >= wanted_permits ||
+               named.size() >= settings_.max_workers_per_request;
+    };
+    // Expired permits are likely to be renewed.
+    for (const step_permits::grant& grant : permits.allowed)
     {
-        for (worker_entry* worker : pass.usable[step.queue->service])
+        ++pass.examined;
+        const worker_entry* worker = pass.workers.at(grant.worker);
+        if (!is_enough() && worker != nullptr &&
+            !permits.denied.contains(grant.worker) &&
+            step.needs.fits_in(worker->free_resources()) &&
+            may_run(pass, step, *worker))
         {
-            if (expected_permits >= wanted_permits ||
-                named.size() >= settings_.max_workers_per_request)
-            {
-                return;
-            }
-            const worker_id& id = worker->registration.id;
-            if (!step.needs.fits_in(worker->free_resources()) ||
-                permits.allowed.contains(id) != previously_allowed ||
-                permits.denied.contains(id) ||
-                !may_run(pass, step, *worker, false))
-            {
-                continue;
-            }
-            named.push_back(id);
-            expected_permits += previously_allowed
-                                    ? 1.0
-                                    : share * settings_.expected_permit_factor;
+            named.push_back(worker);
+            expected_permits += 1.0;
         }
-    };
-    add_workers(true); // Their expired permits are likely to be renewed.
-    add_workers(false);
+    }
+    const impl::fit_index* free =
+        pass.workers.free_capacity(step.queue->service);
+    if (!is_enough() && free != nullptr)
+    {
+        free->visit(
+            step.needs,
+            [&](const impl::fit_index::candidate& each)
+            {
+                ++pass.examined;
+                const worker_entry* worker = pass.workers.at(each.worker);
+                if (worker != nullptr &&
+                    !permits.denied.contains(each.worker) &&
+                    permits.find(each.worker) == nullptr &&
+                    may_run(pass, step, *worker))
+                {
+                    named.push_back(worker);
+                    expected_permits +=
+                        share * settings_.expected_permit_factor;
+                }
+                return !is_enough();
+            },
+            rotation_of(step.step->id));
+    }
     if (expected_permits < wanted_permits &&
         step.urgency == urgency_class::in_time && permits.allowed.empty() &&
         permits.denied.empty())
     {
         add_busy_workers(pass, step, named);
     }
-    request_permits(pass, step, std::move(named));
+    request_permits(pass, step, named);
 }
 
 void planner::add_busy_workers(
     planning_pass& pass,
     const candidate& step,
-    std::vector<worker_id>& named) const
+    std::vector<const worker_entry*>& named) const
 {
     const policy_timing& timing = *step.queue->advice;
     const double workers_in_time_limit =
@@ -625,17 +828,17 @@
     const auto max_workers = std::min(
         settings_.max_workers_per_request,
         static_cast<std::size_t>(std::max(0.0, workers_in_time_limit)));
-    for (worker_entry* worker : pass.usable[step.queue->service])
+    const std::vector<worker_entry*>& all = pass.workers.all();
+    const std::size_t first = rotation_of(step.step->id);
+    for (std::size_t n = 0; n < all.size() && named.size() < max_workers; ++n)
     {
-        if (named.size() >= max_workers)
-        {
-            return;
-        }
+        ++pass.examined;
+        const worker_entry* worker = all[(first + n) % all.size()];
         if (!step.needs.fits_in(worker->free_resources()) &&
             step.needs.fits_in(worker->registration.capacity) &&
-            may_run(pass, step, *worker, false))
+            may_run(pass, step, *worker))
         {
-            named.push_back(worker->registration.id);
+            named.push_back(worker);
         }
     }
 }
@@ -645,28 +848,27 @@
     candidate& step,
     const std::vector<worker_entry*>& places)
 {
-    step_permits& permits = step.step->permits;
-    if (permits.request_in_flight || pass.now < permits.retry_not_before)
+    if (!may_request_permits(pass, step))
     {
         return;
     }
-    std::vector<worker_id> named;
-    if (!places.empty())
+    if (places.empty())
     {
-        for (worker_entry* worker : places)
+        request_permits(pass, step, gang_candidates(pass, step));
+        return;
+    }
+    std::vector<const worker_entry*> named;
+    for (const worker_entry* worker : places)
+    {
+        if (named.empty() || named.back() != worker)
         {
-            if (named.empty() || named.back() != worker->registration.id)
-            {
-                named.push_back(worker->registration.id);
-            }
+            named.push_back(worker);
         }
-        request_permits(pass, step, std::move(named));
-        return;
     }
-    request_permits(pass, step, gang_candidates(pass, step));
+    request_permits(pass, step, named);
 }
 
-std::vector<worker_id>
+std::vector<const worker_entry*>
 planner::gang_candidates(planning_pass& pass, const candidate& step)
 {
     struct undecided_worker
@@ -677,13 +879,17 @@
     };
     const step_permits& permits = step.step->permits;
     std::vector<undecided_worker> undecided;
-    for (const worker_entry* worker : pass.usable[step.queue->service])
+    const std::vector<worker_entry*>& all = pass.workers.all();
+    const std::size_t first = rotation_of(step.step->id);
+    for (std::size_t n = 0; n < all.size(); ++n)
     {
-        const worker_id& id = worker->registration.id;
+        ++pass.examined;
+        const worker_entry* worker = all[(first + n) % all.size()];
         const std::int64_t members_if_idle = members_that_fit(
             worker->registration.capacity, *step.spec, step.needs);
-        if (members_if_idle > 0 && !permits.allowed.contains(id) &&
-            !permits.denied.contains(id) && may_run(pass, step, *worker, false))
+        if (members_if_idle > 0 && !permits.denied.contains(worker->handle) &&
+            permits.find(worker->handle) == nullptr &&
+            may_run(pass, step, *worker))
         {
             undecided.push_back(
                 {worker,
@@ -704,7 +910,7 @@
     const double wanted_members = settings_.gang_candidate_factor *
                                   static_cast<double>(step.step->tasks.size());
     double expected_members = 0;
-    std::vector<worker_id> named;
+    std::vector<const worker_entry*> named;
     for (const undecided_worker& each : undecided)
     {
         if (named.size() >= settings_.max_workers_per_request ||
@@ -712,14 +918,16 @@
         {
             break;
         }
-        named.push_back(each.worker->registration.id);
+        named.push_back(each.worker);
         expected_members += share * static_cast<double>(each.members_now);
     }
     return named;
 }
 
 void planner::request_permits(
-    planning_pass& pass, candidate& step, std::vector<worker_id> workers)
+    planning_pass& pass,
+    candidate& step,
+    const std::vector<const worker_entry*>& workers)
 {
     if (workers.empty())
     {
@@ -737,12 +945,16 @@
     }
     --left;
     step.step->permits.request_in_flight = true;
-    pass.decided.permit_requests.push_back(
-        {step.step->id,
-         std::move(workers),
-         static_cast<std::uint32_t>(step.urgency) * priority_levels +
-             std::min(step.queue->priority, priority_levels - 1),
-         expected});
+    permit_request& request = pass.decided.permit_requests.emplace_back();
+    request.step = step.step->id;
+    for (const worker_entry* worker : workers)
+    {
+        request.workers.push_back(worker->registration.id);
+    }
+    request.priority =
+        static_cast<std::uint32_t>(step.urgency) * priority_levels +
+        std::min(step.queue->priority, priority_levels - 1);
+    request.expected = expected;
 }
 
 double& planner::allowed_share_of(const queue_name& queue)
@@ -767,21 +979,28 @@
     step_permits& known = step_state->permits;
     known.request_in_flight = false;
     std::size_t newly_answered = 0;
-    for (const worker_id& worker : asked)
+    for (const worker_id& id : asked)
     {
-        newly_answered += known.allowed.contains(worker) ? 0 : 1;
-        known.denied.insert(worker);
+        if (const worker_entry* worker = workers.find(id))
+        {
+            newly_answered += known.find(worker->handle) == nullptr ? 1 : 0;
+            known.denied.insert(worker->handle);
+        }
     }
     std::size_t newly_allowed = 0;
     for (const permits::permit& permit : answer.allowed)
     {
-        newly_allowed += known.allowed.contains(permit.worker) ? 0 : 1;
-        known.denied.erase(permit.worker);
-        const worker_entry* worker = workers.find(permit.worker);
-        known.allowed[permit.worker] = {
-            permit.ticket,
-            usable_until,
-            worker == nullptr ? 0 : worker->registration.incarnation};
+        if (const worker_entry* worker = workers.find(permit.worker))
+        {
+            known.denied.erase(worker->handle);
+            newly_allowed += known.allow(
+                                 {worker->handle,
+                                  permit.ticket,
+                                  usable_until,
+                                  worker->registration.incarnation})
+                                 ? 1
+                                 : 0;
+        }
     }
     if (newly_answered > 0)
     {
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -45,6 +45,11 @@
 {
     std::vector<start_decision> starts;
     std::vector<permit_request> permit_requests;
+    /// False if the pass stopped at its limit of work; the steps that are left
+    /// are less urgent than those that were planned.
+    bool complete = true;
+    /// Steps and workers that the pass has examined.
+    std::size_t examined = 0;
 };
 
 /// Tuning parameters of the planner.
@@ -74,6 +79,15 @@
     /// While this many gangs have reservations, no further gang reserves
     /// workers whose runs have yet to end.
     std::size_t max_reserving_gangs = 3;
+    /// How long the computed urgency limits of a step are used, as estimates of
+    /// run times change slowly.
+    milliseconds urgency_refresh{1'000};
+    /// Workers with enough free resources that are compared for a task without
+    /// permits; the tightest fits come first.
+    std::size_t max_compared_workers = 64;
+    /// Steps and workers examined in one pass, so that a long queue does not
+    /// keep the control thread from other calls.
+    std::size_t max_examined = 100'000;
 };
 
 /// Decides which tasks start on which workers, and which permits to request
@@ -120,11 +134,29 @@
     struct planning_pass;
     struct candidate;
 
+    /// A worker that is reserved for a gang in the current pass.
+    struct reservation
+    {
+        std::uint64_t pass = 0; ///< Valid only in the pass of this number.
+        const step_entry* step = nullptr;
+        std::pair<urgency_class, std::uint32_t> rank;
+    };
+
+    /// Steps with waiting tasks, most urgent first.
+    [[nodiscard]] std::vector<candidate>
+    collect_candidates(planning_pass& pass, bool inherited_may_start);
     void place_step(planning_pass& pass, candidate& step);
     void place_tasks(planning_pass& pass, candidate& step);
-    /// Workers that may run a task of the step now and have the resources free.
+    /// Workers with a usable permit for the step and enough free resources.
     [[nodiscard]] std::vector<worker_entry*>
     permitted_workers(planning_pass& pass, const candidate& step) const;
+    /// The worker with the lowest score for the task: among `permitted` if the
+    /// step requires permits, otherwise among all. Null if there is none.
+    [[nodiscard]] worker_entry* best_worker(
+        planning_pass& pass,
+        const candidate& step,
+        std::uint32_t index,
+        const std::vector<worker_entry*>& permitted) const;
     /// Cost of placing the task on the worker; lower is better. Prefers a tight
     /// fit, the rack of the task's data, and a worker other than the one where
     /// the task failed last.
@@ -138,54 +170,69 @@
     /// requests permits.
     bool place_gang(planning_pass& pass, candidate& step);
     /// One worker for each member, or nothing if not all members fit. Without
-    /// `need_permits`, expired permits count too. A non-empty `rack` limits the
+    /// `need_permits`, expired permits count too. A non-null `rack` limits the
     /// choice to that rack.
     [[nodiscard]] std::vector<worker_entry*> fit_gang(
         planning_pass& pass,
         candidate& step,
         bool need_permits,
-        const std::string& rack);
+        const rack_name* rack);
+    /// As `fit_gang`, within the rack that the members fit into; nothing if
+    /// there is none.
+    [[nodiscard]] std::vector<worker_entry*>
+    fit_gang_into_rack(planning_pass& pass, candidate& step);
     /// Reserves workers for a gang that does not fit yet, so that it fits once
     /// their present runs have ended.
     void reserve_workers(planning_pass& pass, candidate& step);
+    void reserve(planning_pass& pass, worker_handle worker, const candidate&);
     void request_task_permits(planning_pass& pass, candidate& step);
     /// Adds workers that lack free resources now to a permit request.
     void add_busy_workers(
         planning_pass& pass,
         const candidate& step,
-        std::vector<worker_id>& named) const;
+        std::vector<const worker_entry*>& named) const;
     void request_gang_permits(
         planning_pass& pass,
         candidate& step,
         const std::vector<worker_entry*>& places);
     /// Workers for a gang's permit request on which the policy has not decided
     /// yet; those with room for the most members come first.
-    [[nodiscard]] std::vector<worker_id>
+    [[nodiscard]] std::vector<const worker_entry*>
     gang_candidates(planning_pass& pass, const candidate& step);
     /// Estimated fraction of the workers that a queue's policy allows.
     [[nodiscard]] double& allowed_share_of(const queue_name& queue);
+    /// True if the step needs a permit request and the budget may allow one.
+    [[nodiscard]] bool
+    may_request_permits(const planning_pass& pass, const candidate& step) const;
     /// Adds a permit request to the plan if the budget allows it.
     void request_permits(
-        planning_pass& pass, candidate& step, std::vector<worker_id> workers);
+        planning_pass& pass,
+        candidate& step,
+        const std::vector<const worker_entry*>& workers);
     void start(
         planning_pass& pass,
         candidate& step,
         std::uint32_t index,
         run_number run,
         worker_entry& worker);
-    /// Checks labels, reservations and limits, and with `need_permit` also that
-    /// the step has a usable permit for the worker. Ignores free resources.
+    /// Checks that the worker is usable, its label, reservations and limits.
+    /// Ignores free resources and permits.
     [[nodiscard]] bool may_run(
         const planning_pass& pass,
         const candidate& step,
-        const worker_entry& worker,
-        bool need_permit) const;
+        const worker_entry& worker) const;
+    [[nodiscard]] bool is_valid(
+        const planning_pass& pass,
+        const step_permits::grant& grant,
+        const worker_entry& worker) const;
 
     planner_settings settings_;
     std::map<queue_name, double> allowed_share_;
     run_time_estimates run_times_;
     /// Workers reserved for each gang until all its members fit.
-    std::map<step_id, std::set<worker_id>> reserved_workers_;
+    std::map<step_id, std::vector<worker_handle>> reserved_workers_;
+    std::uint64_t pass_count_ = 0;
+    std::vector<reservation> reservations_; ///< By worker.
 };
 
 /// The resources that a task of the step occupies on its worker.
--- a/src/fleet/urgency.cpp
+++ b/src/fleet/urgency.cpp
@@ -119,28 +119,31 @@
         { return steps[at].done < steps[at].tasks.size(); });
 }
 
-urgency_class urgency_of(
+urgency_limits limits_of(
     const job_entry& job,
     std::uint32_t occurrence,
     const queue_settings& queue,
-    const run_time_estimates& estimates,
-    instant now)
+    const run_time_estimates& estimates)
 {
-    if (job.excess)
-    {
-        return urgency_class::excess;
-    }
     const milliseconds whole =
         critical_path(job, queue, estimates, [](std::size_t) { return true; });
     const milliseconds objective =
         scaled(whole, queue.stretch) + queue.latency_objective;
     const milliseconds left = remaining_work(job, occurrence, queue, estimates);
-    const milliseconds end = now - job.occurrences[occurrence].front().opened +
-                             left + scaled(left, slack_fraction);
-    return end <= objective ? urgency_class::in_time
-           : end <= scaled(objective, useful_objective_factor)
-               ? urgency_class::late
-               : urgency_class::hopeless;
+    const instant latest_start = job.occurrences[occurrence].front().opened -
+                                 left - scaled(left, slack_fraction);
+    return {
+        latest_start + objective,
+        latest_start + scaled(objective, useful_objective_factor)};
+}
+
+urgency_class
+urgency_of(const job_entry& job, const urgency_limits& limits, instant now)
+{
+    return job.excess                    ? urgency_class::excess
+           : now <= limits.in_time_until ? urgency_class::in_time
+           : now <= limits.useful_until  ? urgency_class::late
+                                         : urgency_class::hopeless;
 }
 
 } // namespace acaciastile::fleet
--- a/src/fleet/urgency.hpp
+++ b/src/fleet/urgency.hpp
@@ -67,14 +67,18 @@
     const queue_settings& queue,
     const run_time_estimates& estimates);
 
-/// Compares the expected end of an occurrence with its latency objective: the
-/// queue's `stretch` times the critical path of all its steps, plus its
-/// `latency_objective`.
-[[nodiscard]] urgency_class urgency_of(
+/// Until when the remaining work of an occurrence can start so that it ends
+/// within its latency objective, and within the time in which its result is
+/// useful. The objective is the queue's `stretch` times the critical path of
+/// all steps, plus its `latency_objective`.
+[[nodiscard]] urgency_limits limits_of(
     const job_entry& job,
     std::uint32_t occurrence,
     const queue_settings& queue,
-    const run_time_estimates& estimates,
-    instant now);
+    const run_time_estimates& estimates);
+
+/// The urgency of an occurrence of the job with these limits.
+[[nodiscard]] urgency_class
+urgency_of(const job_entry& job, const urgency_limits& limits, instant now);
 
 } // namespace acaciastile::fleet
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -12,19 +12,140 @@
            registration.labels.end();
 }
 
-worker_entry* worker_table::find(const worker_id& id)
+worker_entry* worker_table::find(const worker_id& id) const
 {
     const auto at = workers_.find(id);
     return at == workers_.end() ? nullptr : at->second.get();
 }
 
+worker_entry& worker_table::create(const worker_id& id)
+{
+    auto& entry = workers_[id];
+    entry = std::make_unique<worker_entry>();
+    entry->handle = static_cast<worker_handle>(by_handle_.size());
+    entry->registration.id = id;
+    all_.push_back(entry.get());
+    by_handle_.push_back(entry.get());
+    add_out_of_sight(*entry);
+    return *entry;
+}
+
+void worker_table::index(worker_entry& worker)
+{
+    auto& free = free_[worker.registration.service];
+    if (free == nullptr)
+    {
+        free = std::make_unique<impl::fit_index>();
+    }
+    free->set(worker.handle, worker.free_resources());
+    racks_[worker.registration.rack].push_back(&worker);
+}
+
+void worker_table::unindex(const worker_entry& worker)
+{
+    if (const auto at = free_.find(worker.registration.service);
+        at != free_.end())
+    {
+        at->second->erase(worker.handle);
+    }
+    if (const auto at = racks_.find(worker.registration.rack);
+        at != racks_.end())
+    {
+        std::erase(at->second, &worker);
+    }
+}
+
+void worker_table::update_free(const worker_entry& worker)
+{
+    if (const auto at = free_.find(worker.registration.service);
+        at != free_.end())
+    {
+        at->second->set(worker.handle, worker.free_resources());
+    }
+}
+
+const impl::fit_index*
+worker_table::free_capacity(const service_name& service) const
+{
+    const auto at = free_.find(service);
+    return at == free_.end() ? nullptr : at->second.get();
+}
+
+const std::vector<worker_entry*>&
+worker_table::in_rack(const rack_name& rack) const
+{
+    static const std::vector<worker_entry*> none;
+    const auto at = racks_.find(rack);
+    return at == racks_.end() ? none : at->second;
+}
+
+void worker_table::add_out_of_sight(worker_entry& worker)
+{
+    if (!worker.out_of_sight)
+    {
+        worker.out_of_sight = true;
+        out_of_sight_.push_back(&worker);
+    }
+}
+
+void worker_table::prune_out_of_sight(
+    const std::function<bool(const worker_entry&)>& is_settled)
+{
+    std::erase_if(
+        out_of_sight_,
+        [&](worker_entry* worker)
+        {
+            if (!worker->listed || !worker->reachable || !worker->sealed ||
+                !is_settled(*worker))
+            {
+                return false;
+            }
+            worker->out_of_sight = false;
+            return true;
+        });
+}
+
+void worker_table::set_unreachable(worker_entry& worker)
+{
+    worker.reachable = false;
+    add_out_of_sight(worker);
+}
+
+void worker_table::unseal(worker_entry& worker)
+{
+    worker.sealed = false;
+    add_out_of_sight(worker);
+}
+
+void worker_table::note_processed(worker_entry& worker, std::uint64_t number)
+{
+    worker.processed = number;
+    if (!worker.ends_pending)
+    {
+        worker.ends_pending = true;
+        pending_ends_.push_back(&worker);
+    }
+}
+
+std::vector<worker_entry*> worker_table::take_pending_ends()
+{
+    std::vector<worker_entry*> taken;
+    taken.swap(pending_ends_);
+    for (worker_entry* worker : taken)
+    {
+        worker->ends_pending = false;
+    }
+    return taken;
+}
+
 bool worker_table::upsert(const worker_registration& registration)
 {
-    auto& entry = workers_[registration.id];
+    worker_entry* entry = find(registration.id);
     if (entry == nullptr)
     {
-        entry = std::make_unique<worker_entry>();
+        entry = &create(registration.id);
         entry->registration = registration;
+        index(*entry);
         return true;
     }
     entry->listed = true;
@@ -35,9 +156,12 @@
     // The runs belong to the known incarnation, which changes only when the
     // worker itself reports a new one.
     const std::uint64_t incarnation = entry->registration.incarnation;
+    const bool restarted = registration.incarnation != incarnation;
+    unindex(*entry);
     entry->registration = registration;
     entry->registration.incarnation = incarnation;
-    return registration.incarnation != incarnation;
+    index(*entry);
+    return restarted;
 }
 
 void worker_table::unlist(const worker_id& id, log_offset dropped_at)
@@ -46,20 +170,19 @@
     {
         found->listed = false;
         found->dropped_at = dropped_at;
+        add_out_of_sight(*found);
     }
 }
 
 worker_entry&
 worker_table::add_unlisted(const worker_address& address, log_offset dropped_at)
 {
-    auto& entry = workers_[address.id];
-    entry = std::make_unique<worker_entry>();
-    entry->registration.id = address.id;
-    entry->registration.address = address.address;
-    entry->registration.incarnation = address.incarnation;
-    entry->listed = false;
-    entry->dropped_at = dropped_at;
-    return *entry;
+    worker_entry& entry = create(address.id);
+    entry.registration.address = address.address;
+    entry.registration.incarnation = address.incarnation;
+    entry.listed = false;
+    entry.dropped_at = dropped_at;
+    return entry;
 }
 
 std::vector<worker_id>
@@ -67,18 +190,25 @@
 {
     std::vector<worker_id> forgotten;
     std::erase_if(
-        workers_,
-        [&](const auto& each)
+        all_,
+        [&](worker_entry* worker)
         {
-            const worker_entry& worker = *each.second;
-            if (worker.listed || !worker.runs.empty() ||
-                worker.hold_in_flight || !is_past(worker.dropped_at))
+            if (worker->listed || !worker->runs.empty() ||
+                worker->hold_in_flight || !is_past(worker->dropped_at))
             {
                 return false;
             }
-            forgotten.push_back(each.first);
+            forgotten.push_back(worker->registration.id);
+            unindex(*worker);
+            std::erase(out_of_sight_, worker);
+            std::erase(pending_ends_, worker);
+            by_handle_[worker->handle] = nullptr;
             return true;
         });
+    for (const worker_id& id : forgotten)
+    {
+        workers_.erase(id);
+    }
     return forgotten;
 }
 
@@ -116,6 +246,7 @@
 void worker_table::add_run(worker_entry& worker, run_entry run)
 {
     worker.used += run.needs;
+    update_free(worker);
     account_use_[run.account] += run.needs;
     const task_ref task = run.task;
     worker.runs.insert_or_assign(task, std::move(run));
@@ -130,6 +261,7 @@
         return false;
     }
     worker.used -= at->second.needs;
+    update_free(worker);
     account_use_[at->second.account] -= at->second.needs;
     worker.runs.erase(at);
     return true;
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "fleet/ports.hpp"
+#include "fleet/worker_set.hpp"
+#include "policy/fit_index.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <functional>
@@ -33,6 +35,8 @@
     instant started{};
     /// Status reports requested before this time may not list the run.
     instant confirmed{};
+    /// Number of the last status report of the worker that listed the run.
+    std::uint64_t listed_in = 0;
     /// When the stop order was answered. Status reports requested later tell
     /// whether the run has ever started.
     std::optional<instant> stop_answered;
@@ -41,16 +45,19 @@
 /// A worker with its runs, its lease and the ended runs that it has reported.
 struct worker_entry
 {
+    worker_handle handle = 0;
     worker_registration registration;
     bool listed = true; ///< The registry has an entry for it.
     /// If not listed: offset in the registry at which its entry was removed.
     log_offset dropped_at = 0;
-    /// The store holds an `absence_record` of the runs that may exist there.
+    /// The store may hold an `absence_record` of the runs that may exist there.
     /// Nothing is started on the worker until that record is deleted.
     bool has_absence_record = false;
     bool sealed = false;   ///< The worker knows this owner's token.
     bool reachable = true; ///< It answered the last call.
-    resources used;        ///< By its runs.
+    /// Is in `worker_table::out_of_sight`.
+    bool out_of_sight = false;
+    resources used; ///< By its runs.
     absl::flat_hash_map<task_ref, run_entry> runs;
 
     // Positions in the worker's list of ended runs.
@@ -71,8 +78,10 @@
     std::uint32_t failures_in_row = 0; ///< Consecutive failed runs.
     instant quarantined_until{};
 
-    bool hold_in_flight = false; ///< A call of `worker_orders::hold`.
-    instant next_hold{};         ///< Earliest time of the next such call.
+    bool hold_in_flight = false;    ///< A call of `worker_orders::hold`.
+    instant next_hold{};            ///< Earliest time of the next such call.
+    std::uint64_t status_count = 0; ///< Number of status reports applied.
+    bool ends_pending = false; ///< Is in `worker_table::take_pending_ends`.
 
     [[nodiscard]] worker_address address() const
     {
@@ -109,11 +118,52 @@
     {
     }
 
-    using entry_map = std::map<worker_id, std::unique_ptr<worker_entry>>;
+    /// All workers, in the order in which they were added.
+    [[nodiscard]] const std::vector<worker_entry*>& all() const noexcept
+    {
+        return all_;
+    }
+    [[nodiscard]] worker_entry* find(const worker_id& id) const;
+    /// The worker with this handle; null if it was forgotten.
+    [[nodiscard]] worker_entry* at(worker_handle handle) const noexcept
+    {
+        return handle < by_handle_.size() ? by_handle_[handle] : nullptr;
+    }
+    /// Upper bound of all handles.
+    [[nodiscard]] std::size_t handle_count() const noexcept
+    {
+        return by_handle_.size();
+    }
 
-    [[nodiscard]] entry_map& all() noexcept { return workers_; }
-    [[nodiscard]] const entry_map& all() const noexcept { return workers_; }
-    [[nodiscard]] worker_entry* find(const worker_id& id);
+    /// Free capacity of a service's workers, whether usable or not; null if the
+    /// service has none.
+    [[nodiscard]] const impl::fit_index*
+    free_capacity(const service_name& service) const;
+    /// Workers of a rack; empty if it has none.
+    [[nodiscard]] const std::vector<worker_entry*>&
+    in_rack(const rack_name& rack) const;
+
+    /// Workers that were lost from sight and are not known to be back:
+    /// unlisted, unreachable or not sealed. May contain some that are in sight
+    /// again.
+    [[nodiscard]] const std::vector<worker_entry*>&
+    out_of_sight() const noexcept
+    {
+        return out_of_sight_;
+    }
+    /// Removes from `out_of_sight` the workers that are in sight and for which
+    /// `is_settled` returns true.
+    void prune_out_of_sight(
+        const std::function<bool(const worker_entry&)>& is_settled);
+    void set_unreachable(worker_entry& worker);
+    void unseal(worker_entry& worker);
+    /// Marks the worker for another look by whoever handles `out_of_sight`.
+    void add_out_of_sight(worker_entry& worker);
+
+    /// Notes that an end which the worker has reported was processed.
+    void note_processed(worker_entry& worker, std::uint64_t number);
+    /// Returns the workers with processed ends since the last call.
+    [[nodiscard]] std::vector<worker_entry*> take_pending_ends();
 
     /// Records a registration. Returns true if the worker is new or was
     /// restarted.
@@ -165,9 +215,22 @@
     }
 
 private:
+    [[nodiscard]] worker_entry& create(const worker_id& id);
+    /// Removes the worker from the indexes by service and rack.
+    void unindex(const worker_entry& worker);
+    /// Adds the worker to the indexes by service and rack.
+    void index(worker_entry& worker);
+    void update_free(const worker_entry& worker);
+
     worker_table_settings settings_;
-    entry_map workers_;
-    std::map<account_name, resources> account_use_;
+    absl::flat_hash_map<worker_id, std::unique_ptr<worker_entry>> workers_;
+    std::vector<worker_entry*> all_;
+    std::vector<worker_entry*> by_handle_;
+    std::vector<worker_entry*> out_of_sight_;
+    std::vector<worker_entry*> pending_ends_;
+    std::map<service_name, std::unique_ptr<impl::fit_index>> free_;
+    absl::flat_hash_map<rack_name, std::vector<worker_entry*>> racks_;
+    absl::flat_hash_map<account_name, resources> account_use_;
 };
 
 } // namespace acaciastile::fleet
--- a/src/policy/fit_index.cpp
+++ b/src/policy/fit_index.cpp
@@ -72,10 +72,13 @@
     std::uint16_t cell,
     const resources& size,
     std::size_t& misses,
-    absl::FunctionRef<bool(const candidate&)> visit) const
+    absl::FunctionRef<bool(const candidate&)> visit,
+    std::size_t rotation) const
 {
-    for (const candidate& member : cells_[cell])
+    const std::vector<candidate>& members = cells_[cell];
+    for (std::size_t n = 0; n < members.size(); ++n)
     {
+        const candidate& member = members[(n + rotation) % members.size()];
         if (size.fits_in(member.free))
         {
             if (!visit(member))
@@ -96,7 +99,8 @@
     const size_class& least,
     const resources& size,
     std::size_t& misses,
-    absl::FunctionRef<bool(const candidate&)> visit) const
+    absl::FunctionRef<bool(const candidate&)> visit,
+    std::size_t rotation) const
 {
     std::array<std::uint32_t, levels> rows{};
     std::uint32_t any = 0;
@@ -130,7 +134,7 @@
             auto cell = static_cast<std::uint16_t>(
                 plane * levels * levels + memory * levels + least.processors +
                 processor_steps);
-            if (!visit_cell(cell, size, misses, visit))
+            if (!visit_cell(cell, size, misses, visit, rotation))
             {
                 return false;
             }
@@ -141,7 +145,8 @@
 
 void fit_index::visit(
     const resources& size,
-    absl::FunctionRef<bool(const candidate&)> visit) const
+    absl::FunctionRef<bool(const candidate&)> visit,
+    std::size_t rotation) const
 {
     size_class least = class_of(size);
     std::size_t misses = 0;
@@ -149,7 +154,7 @@
          plane < accelerator_levels.size();
          ++plane)
     {
-        if (!visit_plane(plane, least, size, misses, visit))
+        if (!visit_plane(plane, least, size, misses, visit, rotation))
         {
             return;
         }
--- a/src/policy/fit_index.hpp
+++ b/src/policy/fit_index.hpp
@@ -33,10 +33,13 @@
 
     /// Calls `visit` for workers that fit the size, those with the least
     /// left over about first, until it returns false. In cells where only some
-    /// workers fit the size it examines a bounded number of them.
+    /// workers fit the size it examines a bounded number of them. `rotation`
+    /// selects the worker of each cell that comes first, so that searches with
+    /// different rotations are spread over similar workers.
     void visit(
         const resources& size,
-        absl::FunctionRef<bool(const candidate&)> visit) const;
+        absl::FunctionRef<bool(const candidate&)> visit,
+        std::size_t rotation = 0) const;
 
 private:
     struct position
@@ -53,13 +56,15 @@
         std::uint16_t cell,
         const resources& size,
         std::size_t& misses,
-        absl::FunctionRef<bool(const candidate&)> visit) const;
+        absl::FunctionRef<bool(const candidate&)> visit,
+        std::size_t rotation) const;
     [[nodiscard]] bool visit_plane(
         std::size_t plane,
         const size_class& least,
         const resources& size,
         std::size_t& misses,
-        absl::FunctionRef<bool(const candidate&)> visit) const;
+        absl::FunctionRef<bool(const candidate&)> visit,
+        std::size_t rotation) const;
 
     std::array<std::vector<candidate>, size_classes> cells_;
     std::vector<position> positions_;
--- /dev/null
+++ b/tests/fleet/large_fleet_load_test.cpp
@@ -0,0 +1,234 @@
+#include "fleet/planner.hpp"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+// Load patterns of a fleet of 1,100 workers. The planner works on the control
+// thread, so the cost of a pass decides whether the owner still answers its
+// callers and workers.
+
+using namespace acaciastile;
+using namespace acaciastile::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t fleet_size = 1'100;
+
+/// Workers of 32 cores, a queue `urgent` whose policy answers fast, a queue
+/// `plans` whose policy takes seconds for a gang, and a queue `free` without a
+/// policy.
+struct large_fleet
+{
+    job_tracker jobs{1};
+    worker_table workers;
+    planner decider;
+    configuration config;
+    instant now{100s};
+    permit_request_budget budget{147, 2, 150ms};
+
+    explicit large_fleet(planner_settings settings = {}) : decider(settings)
+    {
+        queue_settings urgent = make_queue("urgent", 0);
+        urgent.advice = make_timing(9.0, 0.13);
+        queue_settings plans = make_queue("plans", 1);
+        plans.advice = make_timing(620.0, 8.8);
+        config = configuration(
+            1, {urgent, plans, make_queue("free", 2)}, {account()}, {});
+        for (std::size_t n = 0; n < fleet_size; ++n)
+        {
+            worker_registration registration;
+            registration.id = worker_id("worker-" + std::to_string(n));
+            registration.service = service_name("svc");
+            registration.rack = rack_name("r" + std::to_string(n / 12));
+            registration.capacity = {32'000, 131'072, 0};
+            workers.upsert(registration);
+            workers.find(registration.id)->sealed = true;
+        }
+    }
+
+    static queue_settings make_queue(const char* name, std::uint32_t priority)
+    {
+        queue_settings queue;
+        queue.name = queue_name(name);
+        queue.service = service_name("svc");
+        queue.attempts = 2;
+        queue.priority = priority;
+        queue.stretch = 4.0;
+        queue.latency_objective = 1s;
+        return queue;
+    }
+
+    static policy_timing make_timing(double base, double per_worker)
+    {
+        policy_timing timing;
+        timing.base = decltype(timing.base)(base);
+        timing.per_worker = decltype(timing.per_worker)(per_worker);
+        timing.valid = 1'500ms;
+        return timing;
+    }
+
+    static account_settings account()
+    {
+        account_settings account;
+        account.name = account_name("acct");
+        return account;
+    }
+
+    job_entry& submit(
+        const std::string& id,
+        const char* queue,
+        std::uint32_t tasks,
+        std::int64_t cores,
+        bool gang = false)
+    {
+        step_spec step;
+        step.count = tasks;
+        step.gang = gang;
+        step.each = {cores * 1'000, 1'024, 0};
+        step.estimate = 1s;
+        accepted_job job;
+        job.id = job_id(id);
+        job.queue = queue_name(queue);
+        job.account = account_name("acct");
+        job.request.steps = {step};
+        return *jobs.add(std::move(job), false, now);
+    }
+
+    /// Leaves `cores` free on every worker.
+    void leave_free(std::int64_t cores)
+    {
+        for (worker_entry* worker : workers.all())
+        {
+            run_entry run;
+            run.task = {
+                {job_id("other-" + worker->registration.id.str()), 0, 0}, 0};
+            run.run = 1;
+            run.needs = {32'000 - cores * 1'000, 1'024, 0};
+            workers.add_run(*worker, run);
+        }
+    }
+
+    plan decide()
+    {
+        return decider.decide(jobs, workers, config, now, true, budget);
+    }
+
+    /// Answers every request: all named workers are allowed.
+    void allow_all(const plan& decided)
+    {
+        for (const permit_request& request : decided.permit_requests)
+        {
+            permits answer;
+            for (const worker_id& worker : request.workers)
+            {
+                answer.allowed.push_back({worker, "ticket"});
+            }
+            decider.note_answer(
+                jobs, workers, request.step, request.workers, answer, now + 1s);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE(
+    "steps that wait for the policy service do not make a pass cost the fleet",
+    "[load]")
+{
+    large_fleet fleet;
+    fleet.leave_free(4);
+    constexpr int waiting = 2'000;
+    for (int n = 0; n < waiting; ++n)
+    {
+        fleet.submit("wait" + std::to_string(n), "urgent", 4, 8);
+    }
+    static_cast<void>(fleet.decide());
+    fleet.now += 20ms;
+    fleet.budget = {0, 0, 150ms};
+    const plan later = fleet.decide();
+    CHECK(later.complete);
+    CHECK(later.starts.empty());
+    // Examining every worker for each step would be 2,200,000.
+    CHECK(later.examined <= 2 * waiting);
+}
+
+TEST_CASE(
+    "a full fleet is not searched for tasks that fit nowhere", "[load]")
+{
+    large_fleet fleet;
+    fleet.leave_free(1);
+    constexpr int waiting = 2'000;
+    for (int n = 0; n < waiting; ++n)
+    {
+        fleet.submit("wait" + std::to_string(n), "free", 50, 8);
+    }
+    const plan decided = fleet.decide();
+    CHECK(decided.complete);
+    CHECK(decided.starts.empty());
+    CHECK(decided.examined <= 2 * waiting);
+}
+
+TEST_CASE(
+    "a burst beyond the work of one pass is planned by urgency over several",
+    "[load]")
+{
+    planner_settings settings;
+    settings.max_examined = 5'000;
+    large_fleet fleet(settings);
+    for (int n = 0; n < 400; ++n)
+    {
+        fleet.submit("batch" + std::to_string(n), "free", 20, 1);
+    }
+    fleet.now += 10ms;
+    fleet.submit("urgent", "urgent", 2, 1);
+    const plan first = fleet.decide();
+    CHECK_FALSE(first.complete);
+    CHECK(first.examined < 3 * settings.max_examined);
+    REQUIRE_FALSE(first.permit_requests.empty());
+    CHECK(first.permit_requests.front().step.job == job_id("urgent"));
+    std::size_t started = first.starts.size();
+    for (int pass = 0; pass < 200 && started < 8'000; ++pass)
+    {
+        started += fleet.decide().starts.size();
+    }
+    CHECK(started == 8'000);
+}
+
+TEST_CASE(
+    "permit requests of steps that arrive together name different workers",
+    "[load]")
+{
+    large_fleet fleet;
+    constexpr int steps = 100;
+    for (int n = 0; n < steps; ++n)
+    {
+        fleet.submit("check" + std::to_string(n), "urgent", 4, 20);
+    }
+    const plan asked = fleet.decide();
+    REQUIRE(asked.permit_requests.size() == steps);
+    std::set<worker_id> named;
+    for (const permit_request& request : asked.permit_requests)
+    {
+        named.insert(request.workers.begin(), request.workers.end());
+    }
+    // A worker has room for one of these tasks.
+    CHECK(named.size() >= fleet_size / 2);
+    fleet.allow_all(asked);
+    // Nearly all tasks start with the first answers.
+    CHECK(fleet.decide().starts.size() >= steps * 4 * 9 / 10);
+}
+
+TEST_CASE("a gang takes permitted workers of a large fleet at once", "[load]")
+{
+    large_fleet fleet;
+    fleet.submit("gang", "plans", 40, 9, true);
+    const plan asked = fleet.decide();
+    REQUIRE(asked.permit_requests.size() == 1);
+    fleet.allow_all(asked);
+    fleet.now += 20ms;
+    const plan placed = fleet.decide();
+    CHECK(placed.starts.size() == 40);
+    CHECK(placed.examined <= 500);
+}
--- /dev/null
+++ b/tests/fleet/worker_table_test.cpp
@@ -0,0 +1,100 @@
+#include "fleet/worker_table.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciastile;
+using namespace acaciastile::fleet;
+
+namespace
+{
+
+worker_registration registration_of(
+    const std::string& id, const std::string& service, std::int64_t cores)
+{
+    worker_registration registration;
+    registration.id = worker_id(id);
+    registration.service = service_name(service);
+    registration.rack = rack_name("r1");
+    registration.capacity = {cores * 1'000, 1'024, 0};
+    return registration;
+}
+
+/// Workers of the service with this many cores free.
+std::size_t
+count_free(const worker_table& workers, const char* service, std::int64_t cores)
+{
+    std::size_t count = 0;
+    if (const auto* free = workers.free_capacity(service_name(service)))
+    {
+        free->visit(
+            {cores * 1'000, 0, 0},
+            [&](const impl::fit_index::candidate&)
+            {
+                ++count;
+                return true;
+            });
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("the index of free capacity follows runs and registrations")
+{
+    worker_table workers;
+    workers.upsert(registration_of("a", "svc", 8));
+    workers.upsert(registration_of("b", "svc", 8));
+    CHECK(count_free(workers, "svc", 8) == 2);
+    run_entry run;
+    run.task = {{job_id("j"), 0, 0}, 0};
+    run.run = 1;
+    run.needs = {4'000, 0, 0};
+    workers.add_run(*workers.find(worker_id("a")), run);
+    CHECK(count_free(workers, "svc", 8) == 1);
+    CHECK(count_free(workers, "svc", 4) == 2);
+    REQUIRE(workers.remove_run(*workers.find(worker_id("a")), run.task, 1));
+    CHECK(count_free(workers, "svc", 8) == 2);
+    // The worker joins another service.
+    workers.upsert(registration_of("a", "other", 16));
+    CHECK(count_free(workers, "svc", 8) == 1);
+    CHECK(count_free(workers, "other", 16) == 1);
+    workers.unlist(worker_id("b"), 5);
+    CHECK(workers.forget_unlisted([](log_offset) { return true; }).size() == 1);
+    CHECK(count_free(workers, "svc", 1) == 0);
+    CHECK(workers.in_rack(rack_name("r1")).size() == 1);
+}
+
+TEST_CASE("a forgotten worker's handle is not used again")
+{
+    worker_table workers;
+    workers.upsert(registration_of("a", "svc", 8));
+    const worker_handle first = workers.find(worker_id("a"))->handle;
+    workers.unlist(worker_id("a"), 5);
+    CHECK(workers.forget_unlisted([](log_offset) { return true; }).size() == 1);
+    CHECK(workers.at(first) == nullptr);
+    workers.upsert(registration_of("a", "svc", 8));
+    CHECK(workers.find(worker_id("a"))->handle != first);
+}
+
+TEST_CASE("a worker stays out of sight until it is settled")
+{
+    worker_table workers;
+    workers.upsert(registration_of("a", "svc", 8));
+    worker_entry& worker = *workers.find(worker_id("a"));
+    worker.sealed = true;
+    bool settled = false;
+    const auto is_settled = [&](const worker_entry&) { return settled; };
+    workers.prune_out_of_sight(is_settled);
+    CHECK(workers.out_of_sight().size() == 1);
+    settled = true;
+    workers.prune_out_of_sight(is_settled);
+    CHECK(workers.out_of_sight().empty());
+    workers.set_unreachable(worker);
+    workers.set_unreachable(worker);
+    CHECK(workers.out_of_sight().size() == 1);
+    workers.prune_out_of_sight(is_settled);
+    CHECK(workers.out_of_sight().size() == 1);
+    worker.reachable = true;
+    workers.prune_out_of_sight(is_settled);
+    CHECK(workers.out_of_sight().empty());
+}
