Owner: cheaper messages, several topics of jobs, slow owners are replaced

Jobs go to up to four topics while the store is slow and many bytes wait; the owner follows all of them, and deletes a request from each topic that has it, also one that was stored again after the job's end. Renewals tell the owner's present strength, from the lateness of its timers; a VM twice as strong replaces it, no sooner than 6 s after the last change.

--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -22,6 +22,9 @@
 /// that was not confirmed within the remaining time may be superseded by the
 /// time a reply that relies on it arrives.
 constexpr milliseconds config_freshness_margin{300};
+/// Log lines that follow each other faster than this are written together.
+constexpr milliseconds log_write_interval{20};
+constexpr milliseconds log_flush_interval{100};
 constexpr const char* metrics_path = "/metrics";
 constexpr const char* state_path = "/state";
 
@@ -39,6 +42,13 @@
     return static_cast<std::uint32_t>(1'000 * std::min(1.0, fraction));
 }
 
+nonblocking_appender_settings make_appender_settings()
+{
+    nonblocking_appender_settings settings;
+    settings.write_interval = log_write_interval;
+    return settings;
+}
+
 std::uint64_t random_seed()
 {
     std::random_device device;
@@ -94,9 +104,10 @@
     : settings_(std::move(settings)),
       timers_(loop_),
       clock_(std::make_unique<loop_clock>(timers_)),
+      log_appender_(new nonblocking_appender(make_appender_settings())),
       events_(event_logger::create(
           {log_format::json, event_level::info},
-          log4cplus::SharedAppenderPtr(new nonblocking_appender))),
+          log4cplus::SharedAppenderPtr(log_appender_))),
       metrics_(metrics::create()),
       http_(loop_, timers_),
       signals_(loop_)
@@ -134,6 +145,8 @@
     owner_ = std::make_unique<owner_client>(http_, *leadership_, *clock_);
     fleet::intake_settings intake_options;
     intake_options.request_bytes = settings_.request_bytes;
+    intake_options.first_topic = std::hash<std::string>{}(settings_.vm.str()) %
+                                 fleet::topics::job_topics.size();
     intake_ = fleet::job_intake::create(
         intake_options, *adapter_.store, *clock_, *metrics_);
     peer_api_ = std::make_unique<peer_api>(
@@ -159,6 +172,10 @@
     advice_->start();
     config_->start();
     leadership_->start();
+    lag_ = lag_monitor::create(
+        *clock_, [this](double speed) { leadership_->set_speed(speed); });
+    lag_->start();
+    flush_log();
     wait_for_signal();
     return {};
 }
@@ -238,6 +255,13 @@
 void edge_process::run()
 {
     loop_.run();
+    log_appender_->flush();
+}
+
+void edge_process::flush_log()
+{
+    log_appender_->flush();
+    clock_->after(log_flush_interval, [this] { flush_log(); });
 }
 
 // Fleet ownership
--- a/src/edge/edge_process.hpp
+++ b/src/edge/edge_process.hpp
@@ -2,6 +2,7 @@
 
 #include "edge/advice_poller.hpp"
 #include "edge/config_watch.hpp"
+#include "edge/lag_monitor.hpp"
 #include "edge/owner_client.hpp"
 #include "edge/peer_api.hpp"
 #include "fleet/front_service.hpp"
@@ -11,6 +12,7 @@
 #include "net/http_server.hpp"
 #include "observe/event_logger.hpp"
 #include "observe/metrics.hpp"
+#include "observe/nonblocking_appender.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -102,6 +104,8 @@
         instant received_at,
         fleet::intake_outcome outcome,
         const std::string& reason);
+    /// Writes kept log lines, now and at regular intervals.
+    void flush_log();
     void wait_for_signal();
     void begin_stop();
     /// Ends the event loop once no request is active and ownership was
@@ -114,6 +118,7 @@
     boost::asio::io_context loop_;
     net::timer_service timers_;
     std::unique_ptr<loop_clock> clock_;
+    nonblocking_appender* log_appender_; ///< Owned by `events_`.
     std::unique_ptr<event_logger> events_;
     std::unique_ptr<metrics> metrics_;
     net::http_client http_;
@@ -124,6 +129,7 @@
     std::shared_ptr<fleet::job_intake> intake_;
     std::unique_ptr<peer_api> peer_api_;
     std::shared_ptr<advice_poller> advice_;
+    std::shared_ptr<lag_monitor> lag_;
     std::unique_ptr<net::http_server> front_;
     std::unique_ptr<net::http_server> readiness_;
     std::unique_ptr<net::http_server> peers_;
--- /dev/null
+++ b/src/edge/lag_monitor.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "domain/instant.hpp"
+#include "fleet/ports.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace acaciastile::edge
+{
+
+/// Measures how late the event loop runs its timers, which tells whether the
+/// process gets enough processor time for its work.
+class lag_monitor : public std::enable_shared_from_this<lag_monitor>
+{
+public:
+    /// `report` is called at regular intervals with the speed of the process: 1
+    /// if timers run on time, less the later they run.
+    [[nodiscard]] static std::shared_ptr<lag_monitor>
+    create(fleet::scheduler_clock& clock, std::function<void(double)> report);
+
+    void start();
+
+private:
+    lag_monitor(
+        fleet::scheduler_clock& clock, std::function<void(double)> report);
+
+    void on_timer(instant due);
+
+    fleet::scheduler_clock& clock_;
+    std::function<void(double)> report_;
+    double mean_lag_ms_ = 0; ///< Moving average.
+};
+
+} // namespace acaciastile::edge
--- a/src/fleet/intake.cpp
+++ b/src/fleet/intake.cpp
@@ -23,7 +23,11 @@
     metadata_store& store,
     scheduler_clock& clock,
     metric_sink& metrics)
-    : settings_(settings), store_(store), clock_(clock), metrics_(metrics)
+    : settings_(settings),
+      store_(store),
+      clock_(clock),
+      metrics_(metrics),
+      topic_busy_(topics::job_topics.size())
 {
 }
 
@@ -49,6 +53,7 @@
         std::min(settings_.answer_margin, (deadline - clock_.now()) / 4);
     entry->done = std::move(done);
     entry->may_be_stored = may_be_stored;
+    waiting_bytes_ += entry->record.value.size();
     waiting_.push_back(entry);
     clock_.after(
         entry->deadline - clock_.now(),
@@ -62,9 +67,32 @@
     append_group();
 }
 
+std::optional<std::size_t> job_intake::free_topic() const
+{
+    const auto in_flight = static_cast<std::size_t>(
+        std::count(topic_busy_.begin(), topic_busy_.end(), true));
+    if (in_flight >= settings_.max_appends &&
+        (waiting_bytes_ < settings_.slow_append_bytes ||
+         clock_.now() - last_append_ < settings_.slow_append_after))
+    {
+        return std::nullopt;
+    }
+    for (std::size_t n = 0; n < topic_busy_.size(); ++n)
+    {
+        const std::size_t topic =
+            (settings_.first_topic + n) % topic_busy_.size();
+        if (!topic_busy_[topic])
+        {
+            return topic;
+        }
+    }
+    return std::nullopt;
+}
+
 void job_intake::append_group()
 {
-    if (appends_in_flight_ >= settings_.max_appends || waiting_.empty())
+    const std::optional<std::size_t> topic = free_topic();
+    if (!topic || waiting_.empty())
     {
         return;
     }
@@ -78,26 +106,40 @@
         group.push_back(std::move(waiting_.front()));
         waiting_.erase(waiting_.begin());
     }
-    ++appends_in_flight_;
+    waiting_bytes_ -= bytes;
+    topic_busy_[*topic] = true;
+    last_append_ = clock_.now();
     metrics_.count("fleet_job_appends", "", 1);
     store_.append(
-        topics::jobs,
+        topics::job_topics[*topic],
         std::move(records),
         {},
-        [weak = weak_from_this(),
-         group = std::move(group)](const result<log_offset>& stored)
+        [weak = weak_from_this(), topic = *topic, group = std::move(group)](
+            const result<log_offset>& stored)
         {
             if (const auto self = weak.lock())
             {
-                self->on_append_done(group, stored);
+                self->on_append_done(topic, group, stored);
+            }
+        });
+    // Jobs that arrive meanwhile need another append if the store is slow.
+    clock_.after(
+        settings_.slow_append_after,
+        [weak = weak_from_this()]
+        {
+            if (const auto self = weak.lock())
+            {
+                self->append_group();
             }
         });
 }
 
 void job_intake::on_append_done(
-    std::vector<job_ptr> group, const result<log_offset>& stored)
+    std::size_t topic,
+    std::vector<job_ptr> group,
+    const result<log_offset>& stored)
 {
-    --appends_in_flight_;
+    topic_busy_[topic] = false;
     std::vector<job_ptr> retries;
     for (const job_ptr& job : group)
     {
@@ -119,6 +161,7 @@
         else
         {
             job->may_be_stored = true;
+            waiting_bytes_ += job->record.value.size();
             retries.push_back(job);
         }
     }
@@ -151,6 +194,7 @@
     const bool never_sent = found != waiting_.end() && !job->may_be_stored;
     if (found != waiting_.end())
     {
+        waiting_bytes_ -= job->record.value.size();
         waiting_.erase(found);
     }
     job->done(
--- a/src/fleet/intake.hpp
+++ b/src/fleet/intake.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace acaciastile::fleet
@@ -18,9 +19,18 @@
     /// Reserved before a caller's deadline for returning the outcome; at most a
     /// quarter of the time left.
     milliseconds answer_margin{150};
-    /// Concurrent appends. With more than one, a group of jobs need not wait
-    /// for the previous append while the store is slow.
+    /// Concurrent appends while the store answers them fast, each to a topic of
+    /// its own.
     std::size_t max_appends = 2;
+    /// A store that has not answered an append for this long is slow. If many
+    /// bytes wait by then, a further append is sent to the next topic, up to
+    /// one for each topic: a slow store limits the bytes a second of a topic.
+    milliseconds slow_append_after{40};
+    /// Bytes of waiting jobs that are worth such an append.
+    std::size_t slow_append_bytes = 32U << 10U;
+    /// Topic that is used first, so that VMs that store jobs on their own do
+    /// not all wait for the same one.
+    std::size_t first_topic = 0;
     /// Jobs that may wait to be appended; further ones are not taken.
     std::size_t max_waiting_jobs = 2'000;
     /// Largest append request in bytes. A group is closed once its records
@@ -77,8 +87,13 @@
         metric_sink& metrics);
 
     void append_group();
+    /// The topic for the next append; empty if the appends in flight have to be
+    /// answered first.
+    [[nodiscard]] std::optional<std::size_t> free_topic() const;
     void on_append_done(
-        std::vector<job_ptr> group, const result<log_offset>& stored);
+        std::size_t topic,
+        std::vector<job_ptr> group,
+        const result<log_offset>& stored);
     void expire(const job_ptr& job);
 
     intake_settings settings_;
@@ -86,7 +101,9 @@
     scheduler_clock& clock_;
     metric_sink& metrics_;
     std::vector<job_ptr> waiting_;
-    std::size_t appends_in_flight_ = 0;
+    std::size_t waiting_bytes_ = 0; ///< Of the records in `waiting_`.
+    std::vector<bool> topic_busy_;  ///< An append to it is in flight.
+    instant last_append_{};         ///< When the last append was sent.
 };
 
 } // namespace acaciastile::fleet
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -104,6 +104,8 @@
     std::uint32_t queue_index = 0;   ///< In `job_tracker::queue_names`.
     std::uint32_t account_index = 0; ///< In `job_tracker::account_names`.
     std::size_t open_position = 0;   ///< In `job_tracker::open`.
+    /// A bit for each of `topics::job_topics` in which its request was read.
+    std::uint8_t stored_in = 0;
 
     [[nodiscard]] bool is_final() const noexcept
     {
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -208,6 +208,7 @@
                 decoded->vm,
                 decoded->address,
                 record.offset + 1,
+                decoded->strength,
                 decoded->strength},
             decoded->nonce);
         break;
@@ -220,9 +221,14 @@
                     decoded->vm,
                     decoded->address,
                     decoded->token,
+                    decoded->strength,
                     decoded->strength},
                 decoded->nonce);
         }
+        else if (owner_->token == decoded->token)
+        {
+            owner_->present_strength = decoded->strength;
+        }
         break;
     case ownership_record::kind::release:
         if (owner_ && owner_->token == decoded->token)
@@ -292,10 +298,23 @@
 
 bool leadership::owner_is_weak() const
 {
-    return owner_ &&
-           settings_.strength >=
-               settings_.takeover_strength_ratio * owner_->strength &&
-           clock_.now() - owned_since_ >= settings_.min_tenure;
+    if (!owner_)
+    {
+        return false;
+    }
+    const milliseconds tenure = clock_.now() - owned_since_;
+    const auto is_below = [&](std::uint32_t strength) {
+        return present_strength() >=
+               settings_.takeover_strength_ratio * strength;
+    };
+    return (is_below(owner_->strength) && tenure >= settings_.min_tenure) ||
+           (is_below(owner_->present_strength) &&
+            tenure >= settings_.min_slow_tenure);
+}
+
+std::uint32_t leadership::present_strength() const
+{
+    return static_cast<std::uint32_t>(settings_.strength * speed_);
 }
 
 bool leadership::may_claim() const
@@ -319,7 +338,7 @@
     claim_scheduled_ = true;
     constexpr std::uint32_t full_strength = 1'000;
     const std::uint32_t shortfall =
-        full_strength - std::min(full_strength, settings_.strength);
+        full_strength - std::min(full_strength, present_strength());
     clock_.after(
         random_jitter() +
             settings_.weak_claim_delay * shortfall / full_strength,
@@ -347,7 +366,7 @@
     record.address = settings_.address;
     record.token = token;
     record.nonce = nonce_;
-    record.strength = settings_.strength;
+    record.strength = present_strength();
     return record;
 }
 
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -55,6 +55,10 @@
     /// An owner is not replaced by a stronger VM sooner than this after
     /// ownership last changed.
     milliseconds min_tenure{800};
+    /// As `min_tenure`, for an owner that was strong when it claimed and has
+    /// become slow. Longer, so that an overload which would slow down every
+    /// owner does not move the ownership around.
+    milliseconds min_slow_tenure{6'000};
     /// Longest wait for new records in one read of the ownership topic.
     milliseconds max_read_wait{1'000};
     /// Delay before a failed store request is retried.
@@ -71,7 +75,9 @@
     std::string address;
     /// Fencing token: offset of the owner's claim plus one.
     std::uint64_t token = 0;
-    std::uint32_t strength = 0;
+    std::uint32_t strength = 0; ///< When it claimed.
+    /// According to its last renewal; lower if it has become slow.
+    std::uint32_t present_strength = 0;
 
     [[nodiscard]] bool operator==(const owner_view&) const = default;
 };
@@ -139,6 +145,10 @@
     /// is the owner.
     void suspect(std::uint64_t token, suspect_reason reason);
 
+    /// Sets the share of its strength that this VM has at present: below one if
+    /// its process is held up. As the owner, the next renewal tells the others.
+    void set_speed(double share) noexcept { speed_ = share; }
+
     /// Gives ownership up and makes no further claims. Retries until the
     /// release is stored or this VM is no longer the owner, then calls `done`.
     void release(std::function<void()> done);
@@ -180,6 +190,7 @@
     [[nodiscard]] milliseconds current_owner_timeout() const;
     [[nodiscard]] bool may_claim() const;
     [[nodiscard]] bool owner_is_weak() const;
+    [[nodiscard]] std::uint32_t present_strength() const;
     [[nodiscard]] ownership_record
     make_record(ownership_record::kind what, std::uint64_t token) const;
     void claim();
@@ -207,6 +218,7 @@
     /// again.
     instant last_heard_{};
     std::uint64_t own_token_ = 0;
+    double speed_ = 1.0; ///< See `set_speed`.
     std::string nonce_;
     bool appending_ = false;
     bool claim_scheduled_ = false;
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -10,6 +10,7 @@
 #include "fleet/ports.hpp"
 #include "fleet/worker_table.hpp"
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -22,8 +23,13 @@
 /// Topics of the metadata store that the owner writes or reads.
 namespace topics
 {
-/// Accepted jobs, keyed by job id.
-inline constexpr const char* jobs = "keyed.jobs";
+/// Accepted jobs, keyed by job id. The store handles the appends to one topic
+/// one after the other, so jobs are spread over several while it is slow. A job
+/// that was sent again may be in more than one.
+inline constexpr std::array<const char*, 4> job_topics{
+    "keyed.jobs", "keyed.jobs-1", "keyed.jobs-2", "keyed.jobs-3"};
+/// The topic in which jobs are stored first.
+inline constexpr const char* jobs = job_topics.front();
 /// Progress of jobs, keyed by job id, and records of absent workers.
 inline constexpr const char* progress = "keyed.progress";
 /// Writer name of the owner's appends to `progress`. The writer's epoch is the
@@ -190,8 +196,9 @@
     // Loading.
     void load();
     void fence();
-    void load_newest(
-        const std::string& topic, std::optional<store_page> loading::*into);
+    /// Selects the page of `loading` that a read fills.
+    using loaded_page = std::function<std::optional<store_page>&(loading&)>;
+    void load_newest(const std::string& topic, loaded_page into);
     void load_expired_registrations(log_offset end);
     /// Applies the loaded records once all reads have completed.
     void finish_loading();
@@ -216,13 +223,18 @@
     /// Reads the newest record of each worker after the store has deleted
     /// records that this owner had not read.
     void reload_registry();
-    void tail_jobs();
-    void apply_job_record(const store_record& record, bool inherited);
-    /// Reads the jobs topic to its end. `done` is called with success once
-    /// every job that was stored before this call is known. Errors: `no_owner`
-    /// while loading, else those of the read.
+    /// Follows one of the topics of accepted jobs.
+    void tail_jobs(std::size_t topic);
+    void tail_jobs_later(std::size_t topic, milliseconds delay);
+    void apply_job_record(
+        std::size_t topic, const store_record& record, bool inherited);
+    /// Reads the topics of jobs to their ends. `done` is called with success
+    /// once every job that was stored before this call is known. Errors:
+    /// `no_owner` while loading, else those of the read.
     void read_jobs_now(std::function<void(const result<void>&)> done);
-    void apply_jobs_page(const store_page& page);
+    /// As above, for one topic.
+    void read_jobs_now(std::size_t topic, completion<void> done);
+    void apply_jobs_page(std::size_t topic, const store_page& page);
     void add_job(accepted_job job, bool inherited);
     /// Charges a job to the rate limit of its account at the given instant, and
     /// marks the job if the limit is exceeded.
@@ -368,7 +380,8 @@
     /// Workers that report runs of a job whose record is not read yet.
     std::map<job_id, std::set<worker_id>> unread_jobs_;
 
-    log_offset jobs_next_ = 0;     ///< Next offset to read.
+    /// Next offset to read in each topic of jobs.
+    std::array<log_offset, topics::job_topics.size()> jobs_next_{};
     log_offset registry_next_ = 0; ///< Next offset to read.
 
     bool round_scheduled_ = false;
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -82,7 +82,7 @@
 /// the registry after its newest records.
 struct fleet_owner::loading
 {
-    std::optional<store_page> jobs;
+    std::array<std::optional<store_page>, topics::job_topics.size()> jobs;
     std::optional<store_page> progress;
     std::optional<store_page> registry;
     std::optional<registration_offsets> expired_registrations;
@@ -94,8 +94,17 @@
     fence();
     // These pages may be older than the fence: records appended later are
     // found by the reads that continue from the end of each page.
-    load_newest(topics::jobs, &loading::jobs);
-    load_newest(ports_.foreign.registry_topic(), &loading::registry);
+    for (std::size_t topic = 0; topic < topics::job_topics.size(); ++topic)
+    {
+        load_newest(
+            topics::job_topics[topic],
+            [topic](loading& read) -> std::optional<store_page>&
+            { return read.jobs[topic]; });
+    }
+    load_newest(
+        ports_.foreign.registry_topic(),
+        [](loading& read) -> std::optional<store_page>&
+        { return read.registry; });
 }
 
 void fleet_owner::fence()
@@ -112,7 +121,10 @@
                 if (stored)
                 {
                     ++self.sequence_;
-                    self.load_newest(topics::progress, &loading::progress);
+                    self.load_newest(
+                        topics::progress,
+                        [](loading& read) -> std::optional<store_page>&
+                        { return read.progress; });
                     return;
                 }
                 if (stored.error().code == refusal_code::stale_epoch)
@@ -127,8 +139,7 @@
             }));
 }
 
-void fleet_owner::load_newest(
-    const std::string& topic, std::optional<store_page> loading::*into)
+void fleet_owner::load_newest(const std::string& topic, loaded_page into)
 {
     ports_.store.read_newest(
         topic,
@@ -143,8 +154,8 @@
                                      { owner.load_newest(topic, into); }));
                     return;
                 }
-                (*self.loading_).*into = *page;
-                if (into == &loading::registry)
+                into(*self.loading_) = *page;
+                if (topic == self.ports_.foreign.registry_topic())
                 {
                     self.load_expired_registrations(page->end);
                 }
@@ -170,16 +181,23 @@
 void fleet_owner::finish_loading()
 {
     const std::shared_ptr<loading> read = loading_;
-    if (!read->jobs || !read->progress || !read->registry ||
+    const bool jobs_read = std::all_of(
+        read->jobs.begin(),
+        read->jobs.end(),
+        [](const auto& page) { return page.has_value(); });
+    if (!jobs_read || !read->progress || !read->registry ||
         !read->expired_registrations)
     {
         return;
     }
     loading_.reset();
-    jobs_next_ = read->jobs->end;
-    for (const store_record& record : read->jobs->records)
+    for (std::size_t topic = 0; topic < read->jobs.size(); ++topic)
     {
-        apply_job_record(record, true);
+        jobs_next_[topic] = read->jobs[topic]->end;
+        for (const store_record& record : read->jobs[topic]->records)
+        {
+            apply_job_record(topic, record, true);
+        }
     }
     for (const store_record& record : read->progress->records)
     {
@@ -218,7 +236,10 @@
           {"workers", std::to_string(workers_.all().size())},
           {"unheard", std::to_string(unsealed_workers_.size())},
           {"absent", std::to_string(absences_.all().size())}}});
-    tail_jobs();
+    for (std::size_t topic = 0; topic < topics::job_topics.size(); ++topic)
+    {
+        tail_jobs(topic);
+    }
     later(settings_.cleanup_interval, &fleet_owner::drop_ended_requests);
     later(settings_.registry_poll_interval, &fleet_owner::poll_registry);
     schedule_round();
@@ -242,21 +263,35 @@
     jobs_.restore(job_id(record.key), *progress);
 }
 
-void fleet_owner::apply_job_record(const store_record& record, bool inherited)
+void fleet_owner::apply_job_record(
+    std::size_t topic, const store_record& record, bool inherited)
 {
     if (record.value.empty())
     {
         return; // The request of an ended job was deleted.
     }
+    const auto bit = static_cast<std::uint8_t>(1U << topic);
+    if (job_entry* known = jobs_.find(job_id(record.key)))
+    {
+        known->stored_in |= bit;
+        if (is_final(known->reported_state))
+        {
+            // Sent again after its end; the request must not outlive the
+            // progress that says so.
+            ended_jobs_.push_back(known->job.id);
+        }
+        return;
+    }
     auto job = decode_accepted_job(record.key, record.value);
     if (!job)
     {
         ports_.events.emit(
             {event_number::record_unreadable,
-             {{"topic", topics::jobs}, {"job", record.key}}});
+             {{"topic", topics::job_topics[topic]}, {"job", record.key}}});
         return;
     }
     add_job(*std::move(job), inherited);
+    jobs_.find(job_id(record.key))->stored_in |= bit;
 }
 
 void fleet_owner::add_job(accepted_job job, bool inherited)
@@ -326,22 +361,28 @@
     }
 }
 
-void fleet_owner::tail_jobs()
+void fleet_owner::tail_jobs_later(std::size_t topic, milliseconds delay)
+{
+    ports_.clock.after(
+        delay, guarded([topic](fleet_owner& self) { self.tail_jobs(topic); }));
+}
+
+void fleet_owner::tail_jobs(std::size_t topic)
 {
     ports_.store.read(
-        topics::jobs,
-        jobs_next_,
+        topics::job_topics[topic],
+        jobs_next_[topic],
         settings_.jobs_read_wait,
         guarded(
-            [](fleet_owner& self, const result<store_page>& page)
+            [topic](fleet_owner& self, const result<store_page>& page)
             {
                 if (page)
                 {
-                    self.apply_jobs_page(*page);
-                    self.later(
+                    self.apply_jobs_page(topic, *page);
+                    self.tail_jobs_later(
+                        topic,
                         page->is_last() ? self.settings_.jobs_read_interval
-                                        : milliseconds::zero(),
-                        &fleet_owner::tail_jobs);
+                                        : milliseconds::zero());
                     return;
                 }
                 if (page.error().code == refusal_code::offset_expired)
@@ -349,36 +390,35 @@
                     // The store always keeps the newest record of each key, so
                     // reading those misses no job.
                     self.ports_.store.read_newest(
-                        topics::jobs,
+                        topics::job_topics[topic],
                         self.guarded(
-                            [](fleet_owner& owner,
-                               const result<store_page>& newest)
+                            [topic](
+                                fleet_owner& owner,
+                                const result<store_page>& newest)
                             {
                                 if (newest)
                                 {
-                                    owner.apply_jobs_page(*newest);
+                                    owner.apply_jobs_page(topic, *newest);
                                 }
-                                owner.later(
-                                    owner.settings_.store_retry_delay,
-                                    &fleet_owner::tail_jobs);
+                                owner.tail_jobs_later(
+                                    topic, owner.settings_.store_retry_delay);
                             }));
                     return;
                 }
-                self.later(
-                    self.settings_.store_retry_delay, &fleet_owner::tail_jobs);
+                self.tail_jobs_later(topic, self.settings_.store_retry_delay);
             }));
 }
 
-void fleet_owner::apply_jobs_page(const store_page& page)
+void fleet_owner::apply_jobs_page(std::size_t topic, const store_page& page)
 {
     // The previous owner may not know yet that it was replaced and may have
     // started these jobs.
     const bool inherited = !inherited_may_start();
     for (const store_record& record : page.records)
     {
-        apply_job_record(record, inherited);
+        apply_job_record(topic, record, inherited);
     }
-    jobs_next_ = std::max(jobs_next_, page.end);
+    jobs_next_[topic] = std::max(jobs_next_[topic], page.end);
     if (!page.records.empty())
     {
         schedule_round();
@@ -392,12 +432,40 @@
         done(refuse(refusal_code::no_owner, "the owner is loading"));
         return;
     }
+    struct pending_reads
+    {
+        std::size_t left = topics::job_topics.size();
+        result<void> outcome;
+        std::function<void(const result<void>&)> done;
+    };
+    auto reads = std::make_shared<pending_reads>();
+    reads->done = std::move(done);
+    for (std::size_t topic = 0; topic < topics::job_topics.size(); ++topic)
+    {
+        read_jobs_now(
+            topic,
+            [reads](const result<void>& read)
+            {
+                if (!read)
+                {
+                    reads->outcome = read;
+                }
+                if (--reads->left == 0)
+                {
+                    reads->done(reads->outcome);
+                }
+            });
+    }
+}
+
+void fleet_owner::read_jobs_now(std::size_t topic, completion<void> done)
+{
     ports_.store.read(
-        topics::jobs,
-        jobs_next_,
+        topics::job_topics[topic],
+        jobs_next_[topic],
         milliseconds::zero(),
         guarded(
-            [done = std::move(done)](
+            [topic, done = std::move(done)](
                 fleet_owner& self, const result<store_page>& page)
             {
                 if (!page)
@@ -405,10 +473,10 @@
                     done(tl::unexpected(page.error()));
                     return;
                 }
-                self.apply_jobs_page(*page);
+                self.apply_jobs_page(topic, *page);
                 if (!page->is_last())
                 {
-                    self.read_jobs_now(done);
+                    self.read_jobs_now(topic, done);
                     return;
                 }
                 done({});
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -149,17 +149,40 @@
 
 void fleet_owner::drop_ended_requests()
 {
-    std::vector<store_record> dropped;
+    std::array<std::vector<store_record>, topics::job_topics.size()> dropped;
+    std::vector<job_id> unread;
     for (const job_id& id : ended_jobs_)
     {
-        dropped.push_back({0, id.str(), {}});
+        job_entry* job = jobs_.find(id);
+        if (job == nullptr)
+        {
+            continue;
+        }
+        if (job->stored_in == 0)
+        {
+            unread.push_back(id); // Its request will be read soon.
+        }
+        for (std::size_t topic = 0; topic < dropped.size(); ++topic)
+        {
+            if ((job->stored_in >> topic & 1U) != 0)
+            {
+                dropped[topic].push_back({0, id.str(), {}});
+            }
+        }
     }
-    ended_jobs_.clear();
-    if (!dropped.empty())
+    ended_jobs_ = std::move(unread);
+    for (std::size_t topic = 0; topic < dropped.size(); ++topic)
     {
-        // A failure is ignored: the next owner only loads a few more requests.
-        ports_.store.append(
-            topics::jobs, dropped, {}, [](const result<log_offset>&) {});
+        if (!dropped[topic].empty())
+        {
+            // A failure is ignored: the next owner only loads a few more
+            // requests.
+            ports_.store.append(
+                topics::job_topics[topic],
+                std::move(dropped[topic]),
+                {},
+                [](const result<log_offset>&) {});
+        }
     }
     forget_old_jobs();
     later(settings_.cleanup_interval, &fleet_owner::drop_ended_requests);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -3,6 +3,7 @@
 #include "net/http_types.hpp"
 #include "net/timer_service.hpp"
 
+#include <absl/container/flat_hash_map.h>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <deque>
@@ -82,7 +83,7 @@
     timer_service& timers_;
     http_client_settings settings_;
     http_client_counts counts_;
-    std::map<endpoint, std::deque<connection_ptr>> idle_;
+    absl::flat_hash_map<endpoint, std::deque<connection_ptr>> idle_;
 };
 
 } // namespace acaciastile::net
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace acaciastile::net
 {
@@ -24,6 +25,11 @@
 
     [[nodiscard]] bool operator==(const endpoint&) const = default;
     [[nodiscard]] auto operator<=>(const endpoint&) const = default;
+    template<class H>
+    friend H AbslHashValue(H state, const endpoint& value)
+    {
+        return H::combine(std::move(state), value.address, value.port);
+    }
     [[nodiscard]] std::string str() const
     {
         return address + ":" + std::to_string(port);
--- a/src/net/timer_service.hpp
+++ b/src/net/timer_service.hpp
@@ -2,6 +2,7 @@
 
 #include "domain/instant.hpp"
 
+#include <absl/container/flat_hash_map.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -38,7 +39,7 @@
 
     boost::asio::steady_timer timer_;
     std::map<key, std::function<void()>> pending_;
-    std::map<timer_id, instant> due_times_;
+    absl::flat_hash_map<timer_id, instant> due_times_;
     instant system_timer_due_ = instant::max();
     timer_id last_id_ = 0;
 };
--- a/src/observe/event_logger.cpp
+++ b/src/observe/event_logger.cpp
@@ -43,15 +43,37 @@
 
 bool is_secret_field(std::string_view name)
 {
-    const auto lower = absl::AsciiStrToLower({name.data(), name.size()});
-    return std::find(
-               secret_field_names.begin(), secret_field_names.end(), lower) !=
-           secret_field_names.end();
+    return std::any_of(
+        secret_field_names.begin(),
+        secret_field_names.end(),
+        [&](std::string_view secret)
+        {
+            return absl::EqualsIgnoreCase(
+                {secret.data(), secret.size()}, {name.data(), name.size()});
+        });
+}
+
+/// True for text that JSON contains as it is.
+bool is_plain(std::string_view text)
+{
+    return std::all_of(
+        text.begin(),
+        text.end(),
+        [](char each)
+        {
+            return absl::ascii_isprint(static_cast<unsigned char>(each)) &&
+                   each != '"' && each != '\\';
+        });
 }
 
 std::string quote(std::string_view text)
 {
     using json = nlohmann::json;
+    if (is_plain(text))
+    {
+        return absl::StrCat(
+            "\"", absl::string_view(text.data(), text.size()), "\"");
+    }
     return json(text).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
--- a/src/observe/nonblocking_appender.cpp
+++ b/src/observe/nonblocking_appender.cpp
@@ -54,11 +54,16 @@
         dropped_reported_ = dropped_;
     }
     buffer_ += text;
-    flush();
+    if (std::chrono::steady_clock::now() - last_write_ >=
+        settings_.write_interval)
+    {
+        flush();
+    }
 }
 
 void nonblocking_appender::flush()
 {
+    last_write_ = std::chrono::steady_clock::now();
     std::size_t written = 0;
     while (written < buffer_.size())
     {
--- a/src/observe/nonblocking_appender.hpp
+++ b/src/observe/nonblocking_appender.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <log4cplus/appender.h>
 #include <string>
@@ -11,6 +12,9 @@
 {
     int descriptor = 1;                     ///< Standard output.
     std::size_t buffer_bytes = 256U << 10U; ///< Limit of unwritten lines.
+    /// A line that follows the last write within this time is kept until the
+    /// next line or a call of `flush` after it. Saves system calls under load.
+    std::chrono::milliseconds write_interval{0};
 };
 
 /// Writes log lines to a non-blocking descriptor, so that a slow reader never
@@ -24,6 +28,8 @@
     ~nonblocking_appender() override;
 
     void close() override;
+    /// Writes the lines that were kept back.
+    void flush();
     /// Number of lines dropped since construction.
     [[nodiscard]] std::uint64_t dropped() const noexcept { return dropped_; }
 
@@ -31,10 +37,9 @@
     void append(const log4cplus::spi::InternalLoggingEvent& event) override;
 
 private:
-    void flush();
-
     nonblocking_appender_settings settings_;
     std::string buffer_;
+    std::chrono::steady_clock::time_point last_write_;
     std::uint64_t dropped_ = 0;
     std::uint64_t dropped_reported_ = 0;
 };
--- a/tests/fleet/intake_test.cpp
+++ b/tests/fleet/intake_test.cpp
@@ -121,3 +121,40 @@
     at.clock.advance(100ms);
     CHECK(at.outcomes["a"] == intake_outcome::stored);
 }
+
+TEST_CASE(
+    "a burst of large jobs on a slow store is spread over several topics",
+    "[intake][load]")
+{
+    fixture at;
+    at.store.latency = 240ms;
+    constexpr int jobs = 600;
+    for (int n = 0; n < jobs; ++n)
+    {
+        fleet::accepted_job large = job("j" + std::to_string(n));
+        large.request.payload = std::string(2'400, 'x');
+        at.intake->submit(
+            large,
+            at.clock.now() + 3s,
+            false,
+            [&at, n](intake_outcome outcome, const std::string&)
+            { at.outcomes["j" + std::to_string(n)] = outcome; });
+        at.clock.advance(2ms);
+    }
+    at.clock.advance(1s);
+    REQUIRE(at.outcomes.size() == jobs);
+    std::map<std::string, int> stored;
+    for (int n = 0; n < jobs; ++n)
+    {
+        for (const char* topic : fleet::topics::job_topics)
+        {
+            stored[topic] +=
+                at.store.newest(topic, "j" + std::to_string(n)).empty() ? 0 : 1;
+        }
+    }
+    for (const char* topic : fleet::topics::job_topics)
+    {
+        INFO(topic);
+        CHECK(stored[topic] >= jobs / 10);
+    }
+}
--- a/tests/fleet/large_fleet_load_test.cpp
+++ b/tests/fleet/large_fleet_load_test.cpp
@@ -1,6 +1,8 @@
 #include "fleet/planner.hpp"
 
+#include <absl/hash/hash.h>
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 // Load patterns of a fleet of 1,100 workers. The planner works on the control
@@ -154,8 +156,7 @@
     CHECK(later.examined <= 2 * waiting);
 }
 
-TEST_CASE(
-    "a full fleet is not searched for tasks that fit nowhere", "[load]")
+TEST_CASE("a full fleet is not searched for tasks that fit nowhere", "[load]")
 {
     large_fleet fleet;
     fleet.leave_free(1);
@@ -232,3 +233,85 @@
     CHECK(placed.starts.size() == 40);
     CHECK(placed.examined <= 500);
 }
+
+TEST_CASE(
+    "a gang wider than one answer of its policy starts in an idle fleet",
+    "[load]")
+{
+    large_fleet fleet;
+    // A quarter of the workers is allowed; permits last as long as one answer
+    // for 100 workers takes.
+    fleet.submit("gang", "plans", 193, 6, true);
+    std::size_t started = 0;
+    for (int answers = 0; answers < 8 && started == 0; ++answers)
+    {
+        const plan asked = fleet.decide();
+        started = asked.starts.size();
+        for (const permit_request& request : asked.permit_requests)
+        {
+            fleet.now += request.expected;
+            permits answer;
+            for (const worker_id& worker : request.workers)
+            {
+                if (absl::HashOf(worker.str()) % 4 == 0)
+                {
+                    answer.allowed.push_back({worker, "ticket"});
+                }
+            }
+            fleet.decider.note_answer(
+                fleet.jobs,
+                fleet.workers,
+                request.step,
+                request.workers,
+                answer,
+                fleet.now + 1'480ms);
+        }
+    }
+    CHECK(started == 193);
+}
+
+TEST_CASE(
+    "late wide gangs start beside each other once the fleet is idle", "[load]")
+{
+    large_fleet fleet;
+    constexpr int gangs = 6;
+    constexpr std::uint32_t members = 193;
+    for (int n = 0; n < gangs; ++n)
+    {
+        fleet.submit("gang" + std::to_string(n), "plans", members, 6, true);
+    }
+    fleet.now += 60s; // All of them are late.
+    std::multimap<instant, permit_request> asked;
+    std::size_t started = 0;
+    for (int round = 0; round < 1'500; ++round)
+    {
+        fleet.now += 20ms;
+        while (!asked.empty() && asked.begin()->first <= fleet.now)
+        {
+            const permit_request request = asked.begin()->second;
+            asked.erase(asked.begin());
+            permits answer;
+            for (const worker_id& worker : request.workers)
+            {
+                if (absl::HashOf(worker.str(), request.step.job.str()) % 4 == 0)
+                {
+                    answer.allowed.push_back({worker, "ticket"});
+                }
+            }
+            fleet.decider.note_answer(
+                fleet.jobs,
+                fleet.workers,
+                request.step,
+                request.workers,
+                answer,
+                fleet.now + 1'480ms);
+        }
+        const plan decided = fleet.decide();
+        started += decided.starts.size();
+        for (const permit_request& request : decided.permit_requests)
+        {
+            asked.emplace(fleet.now + request.expected, request);
+        }
+    }
+    CHECK(started == gangs * members);
+}
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -313,6 +313,47 @@
     CHECK(world.starts_of("a").size() == 1);
 }
 
+TEST_CASE("jobs of every topic run, and are deleted where they are", "[fleet]")
+{
+    fleet_world world;
+    const std::size_t topics = fleet::topics::job_topics.size();
+    for (std::size_t n = 0; n < topics; ++n)
+    {
+        const std::string id = "j" + std::to_string(n);
+        world.submit(id, {tasks(1)});
+        // Each job is in its topic and also in the next one, as if it had been
+        // sent again there.
+        const std::string value = world.store.newest(fleet::topics::jobs, id);
+        world.store.put(fleet::topics::job_topics[n], id, value);
+        world.store.put(fleet::topics::job_topics[(n + 1) % topics], id, value);
+    }
+    world.run(6s);
+    for (std::size_t n = 0; n < topics; ++n)
+    {
+        const std::string id = "j" + std::to_string(n);
+        CHECK(world.view(id).state == job_state::completed);
+        CHECK(world.starts_of(id).size() == 1);
+        for (const char* topic : fleet::topics::job_topics)
+        {
+            CHECK(world.store.newest(topic, id).empty());
+        }
+    }
+}
+
+TEST_CASE(
+    "a job that is stored again after its end is not kept for a later owner",
+    "[fleet]")
+{
+    fleet_world world;
+    world.submit("a", {tasks(1)});
+    REQUIRE(world.run_until("a", job_state::completed, 6s));
+    world.run(3s);
+    world.submit("a", {tasks(1)});
+    world.run(5s);
+    CHECK(world.store.newest(fleet::topics::jobs, "a").empty());
+    CHECK(world.starts_of("a").size() == 1);
+}
+
 TEST_CASE(
     "the state of an ended job is deleted after its retention time", "[fleet]")
 {
@@ -327,6 +368,29 @@
     CHECK(world.store.newest(fleet::topics::progress, "a").empty());
 }
 
+TEST_CASE(
+    "an owner that becomes slow is replaced, but not soon", "[leadership]")
+{
+    fleet_world world(3, 2);
+    world.run(2s);
+    fleet_world::vm* before = world.owner_vm();
+    REQUIRE(before != nullptr);
+    before->leadership->set_speed(0.3);
+    world.run(2s);
+    CHECK(world.owner_vm() == before);
+    world.run(5s);
+    REQUIRE(world.owner_vm() != nullptr);
+    CHECK(world.owner_vm() != before);
+    // When all are slow, the ownership stays where it is.
+    fleet_world::vm* next = world.owner_vm();
+    for (const auto& each : world.vms)
+    {
+        each->leadership->set_speed(0.3);
+    }
+    world.run(10s);
+    CHECK(world.owner_vm() == next);
+}
+
 TEST_CASE("a much stronger VM replaces a weak owner once", "[leadership]")
 {
     fleet_world world(0, 1);
