Owner: lookups share reads of jobs; planning time alone paces rounds; cheaper questions

The pause after a round counted the time in which it sent its orders, so an owner spent a quarter of its time at most on starting tasks. Each request for a question and each round walked the tables of all VMs three times. VMs asked an owner that answers whether it is alive for each job that it stored slowly.

Change: lookups that wait share one read, started after they came; the pause follows the planning alone; deadlines of questions are looked at when the first is due; one gang out of time may reserve workers; liveness checks of an owner that replies are 0.6 s apart; claims tell the VM's full strength, renewals the present one.

--- a/src/edge/owner_client.cpp
+++ b/src/edge/owner_client.cpp
@@ -22,6 +22,9 @@
 /// checks that the owner is alive. Storing a job takes about 10 ms, or 0.5 s
 /// while the store is slow.
 constexpr milliseconds accept_check_delay{250};
+/// Time between two liveness checks of an owner that replies to other calls.
+/// Many VMs check it at once while the store is slow.
+constexpr milliseconds check_interval{600};
 /// Timeout of a liveness check. A slow VM replies in about 50 ms.
 constexpr milliseconds alive_timeout{300};
 /// Maximum time to wait for the owner while a client waits for the result.
@@ -83,11 +86,15 @@
 void owner_client::check_alive()
 {
     const auto address = owner_address();
-    if (check_in_progress_ || local_ || !address)
+    const instant now = clock_.now();
+    const bool replies = age_of(last_reply_, now) < accept_check_delay;
+    if (check_in_progress_ || local_ || !address ||
+        (replies && age_of(last_check_, now) < check_interval))
     {
         return;
     }
     check_in_progress_ = true;
+    last_check_ = now;
     constexpr bool repeatable = true;
     http_.call(
         *address,
--- a/src/edge/owner_client.hpp
+++ b/src/edge/owner_client.hpp
@@ -95,6 +95,7 @@
     /// Fencing token of the owner that failed its last liveness check.
     std::uint64_t unresponsive_token_ = 0;
     bool check_in_progress_ = false;
+    instant last_check_ = instant::min(); ///< When `check_alive` last asked.
     std::list<std::shared_ptr<pending_accept>> pending_accepts_;
 };
 
--- a/src/fleet/advice_dispatcher.cpp
+++ b/src/fleet/advice_dispatcher.cpp
@@ -21,10 +21,16 @@
     instant deadline,
     question_handler deliver)
 {
-    last_seen_[vm] = now;
+    const auto [seen, added] = last_seen_.insert_or_assign(vm, now);
+    if (added)
+    {
+        active_vms_until_ = {};
+    }
     if (auto unanswered = assignments_.extract(vm))
     {
-        add(std::move(unanswered.mapped().question)); // The VM has lost it.
+        permit_request& question = unanswered.mapped().question;
+        long_assigned_ -= is_long(question) ? 1 : 0;
+        add(std::move(question)); // The VM has lost it.
     }
     if (const auto at = idle_vms_.find(vm); at != idle_vms_.end())
     {
@@ -32,15 +38,23 @@
         idle_vms_.erase(at);
     }
     idle_vms_.emplace(vm, idle_vm{std::move(deliver), deadline});
+    next_deadline_ = std::min(next_deadline_, deadline);
 }
 
 std::size_t advice_dispatcher::count_active_vms(instant now) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        last_seen_.begin(),
-        last_seen_.end(),
-        [&](const auto& each)
-        { return each.second + settings_.vm_inactive_after > now; }));
+    // VMs come and go rarely compared with the questions of a large fleet.
+    constexpr milliseconds count_interval{50};
+    if (now >= active_vms_until_)
+    {
+        active_vms_ = static_cast<std::size_t>(std::count_if(
+            last_seen_.begin(),
+            last_seen_.end(),
+            [&](const auto& each)
+            { return each.second + settings_.vm_inactive_after > now; }));
+        active_vms_until_ = now + count_interval;
+    }
+    return active_vms_;
 }
 
 permit_request_budget advice_dispatcher::budget(instant now) const
@@ -59,60 +73,71 @@
         settings_.long_question_threshold};
 }
 
-std::vector<permit_request> advice_dispatcher::dispatch(instant now)
+std::vector<permit_request> advice_dispatcher::expire(instant now)
 {
     std::vector<permit_request> overdue;
+    if (now < next_deadline_)
+    {
+        return overdue;
+    }
+    next_deadline_ = instant::max();
     std::erase_if(
         assignments_,
         [&](auto& each)
         {
             if (each.second.deadline > now)
             {
+                next_deadline_ = std::min(next_deadline_, each.second.deadline);
                 return false;
             }
+            long_assigned_ -= is_long(each.second.question) ? 1 : 0;
             overdue.push_back(std::move(each.second.question));
             return true;
         });
+    for (auto at = idle_vms_.begin(); at != idle_vms_.end();)
+    {
+        if (at->second.deadline > now)
+        {
+            next_deadline_ = std::min(next_deadline_, at->second.deadline);
+            ++at;
+            continue;
+        }
+        question_handler deliver = std::move(at->second.deliver);
+        at = idle_vms_.erase(at);
+        deliver(std::nullopt);
+    }
+    return overdue;
+}
+
+std::vector<permit_request> advice_dispatcher::dispatch(instant now)
+{
     const std::size_t active_vms = count_active_vms(now);
     const std::size_t long_allowed =
         active_vms > settings_.vms_reserved_for_short
             ? active_vms - settings_.vms_reserved_for_short
             : 1;
-    auto long_assigned = static_cast<std::size_t>(std::count_if(
-        assignments_.begin(),
-        assignments_.end(),
-        [&](const auto& each) { return is_long(each.second.question); }));
     for (auto question = waiting_.begin();
          question != waiting_.end() && !idle_vms_.empty();)
     {
-        if (is_long(*question) && long_assigned >= long_allowed)
+        if (is_long(*question) && long_assigned_ >= long_allowed)
         {
             ++question;
             continue;
         }
-        long_assigned += is_long(*question) ? 1 : 0;
+        long_assigned_ += is_long(*question) ? 1 : 0;
         auto receiver = idle_vms_.extract(idle_vms_.begin());
         const instance_id vm = receiver.key();
-        assignments_[vm] = {
-            *question, now + question->expected * 2 + settings_.answer_grace};
+        const instant deadline =
+            now + question->expected * 2 + settings_.answer_grace;
+        assignments_[vm] = {*question, deadline};
+        next_deadline_ = std::min(next_deadline_, deadline);
         // The VM counts as active while it works on the question.
         last_seen_[vm] = now + question->expected * 2;
         permit_request assigned = std::move(*question);
         question = waiting_.erase(question);
         receiver.mapped().deliver(std::move(assigned));
     }
-    for (auto at = idle_vms_.begin(); at != idle_vms_.end();)
-    {
-        if (at->second.deadline > now)
-        {
-            ++at;
-            continue;
-        }
-        question_handler deliver = std::move(at->second.deliver);
-        at = idle_vms_.erase(at);
-        deliver(std::nullopt);
-    }
-    return overdue;
+    return expire(now);
 }
 
 std::optional<permit_request>
@@ -124,6 +149,7 @@
         return std::nullopt;
     }
     std::optional<permit_request> answered = std::move(at->second.question);
+    long_assigned_ -= is_long(*answered) ? 1 : 0;
     assignments_.erase(at);
     return answered;
 }
--- a/src/fleet/advice_dispatcher.hpp
+++ b/src/fleet/advice_dispatcher.hpp
@@ -97,12 +97,21 @@
         return question.expected > settings_.long_question_threshold;
     }
     [[nodiscard]] std::size_t count_active_vms(instant now) const;
+    /// Ends what is overdue by now: returns the unanswered questions, and ends
+    /// the requests of idle VMs with nothing.
+    [[nodiscard]] std::vector<permit_request> expire(instant now);
 
     advice_dispatcher_settings settings_;
     std::list<permit_request> waiting_; ///< By priority, then by arrival.
     std::map<instance_id, idle_vm> idle_vms_;
     std::map<instance_id, assignment> assignments_;
     std::map<instance_id, instant> last_seen_;
+    std::size_t long_assigned_ = 0; ///< Long questions in `assignments_`.
+    /// No deadline of an assignment or an idle VM is earlier.
+    instant next_deadline_ = instant::max();
+    /// The last result of `count_active_vms`, and until when it is used.
+    mutable std::size_t active_vms_ = 0;
+    mutable instant active_vms_until_{};
 };
 
 } // namespace acaciastile::fleet
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -366,7 +366,9 @@
     record.address = settings_.address;
     record.token = token;
     record.nonce = nonce_;
-    record.strength = present_strength();
+    record.strength = what == ownership_record::kind::renewal
+                          ? present_strength()
+                          : settings_.strength;
     return record;
 }
 
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -78,7 +78,7 @@
             milliseconds::zero(),
             std::max(
                 settings_.round_interval,
-                round_cost_ * settings_.round_pause_factor) -
+                planning_cost_ * settings_.round_pause_factor) -
                 since),
         &fleet_owner::run_round);
 }
@@ -99,6 +99,7 @@
         now,
         inherited_may_start(),
         dispatcher_.budget(now));
+    planning_cost_ = ports_.clock.now() - now;
     for (const permit_request& question : decided.permit_requests)
     {
         dispatcher_.add(question);
@@ -121,7 +122,6 @@
     poll_workers();
     flush();
     last_round_ = ports_.clock.now();
-    round_cost_ = last_round_ - now;
     if (!decided.complete)
     {
         schedule_round();
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -55,9 +55,10 @@
     advice_dispatcher_settings advice;
     /// Minimum time between two scheduling rounds.
     milliseconds round_interval{5};
-    /// Minimum pause after a round, as a multiple of the round's duration, so
-    /// that long rounds leave the control thread time for other work.
-    int round_pause_factor = 3;
+    /// Minimum pause after a round, as a multiple of the time that planning
+    /// took, so that long queues leave the control thread time for other work.
+    /// The orders that a round sends are needed work and do not count.
+    int round_pause_factor = 4;
     /// Time between two rounds when no event triggers one.
     milliseconds idle_round_interval{250};
     /// Minimum time between two appends of progress. The end of a run counts as
@@ -232,6 +233,9 @@
     /// once every job that was stored before this call is known. Errors:
     /// `no_owner` while loading, else those of the read.
     void read_jobs_now(std::function<void(const result<void>&)> done);
+    /// Starts one read for all callers of `read_jobs_now` that wait, unless one
+    /// is in flight: it may have passed the job that a caller asks for.
+    void read_jobs_for_waiting();
     /// As above, for one topic.
     void read_jobs_now(std::size_t topic, completion<void> done);
     void apply_jobs_page(std::size_t topic, const store_page& page);
@@ -384,9 +388,12 @@
     std::array<log_offset, topics::job_topics.size()> jobs_next_{};
     log_offset registry_next_ = 0; ///< Next offset to read.
 
+    std::vector<std::function<void(const result<void>&)>> jobs_readers_;
+    bool jobs_read_in_flight_ = false; ///< For callers of `read_jobs_now`.
+
     bool round_scheduled_ = false;
     instant last_round_{};
-    milliseconds round_cost_{0};
+    milliseconds planning_cost_{0}; ///< Of the last round.
     instant next_idle_round_{};
     /// Time of the last request from another VM; `max` if there was none.
     instant last_work_request_ = instant::max();
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -432,28 +432,45 @@
         done(refuse(refusal_code::no_owner, "the owner is loading"));
         return;
     }
+    jobs_readers_.push_back(std::move(done));
+    read_jobs_for_waiting();
+}
+
+void fleet_owner::read_jobs_for_waiting()
+{
+    if (jobs_read_in_flight_ || jobs_readers_.empty())
+    {
+        return;
+    }
     struct pending_reads
     {
         std::size_t left = topics::job_topics.size();
         result<void> outcome;
-        std::function<void(const result<void>&)> done;
+        std::vector<std::function<void(const result<void>&)>> readers;
     };
+    jobs_read_in_flight_ = true;
     auto reads = std::make_shared<pending_reads>();
-    reads->done = std::move(done);
+    reads->readers.swap(jobs_readers_);
     for (std::size_t topic = 0; topic < topics::job_topics.size(); ++topic)
     {
         read_jobs_now(
             topic,
-            [reads](const result<void>& read)
+            [this, reads](const result<void>& read)
             {
                 if (!read)
                 {
                     reads->outcome = read;
                 }
-                if (--reads->left == 0)
+                if (--reads->left > 0)
+                {
+                    return;
+                }
+                jobs_read_in_flight_ = false;
+                for (const auto& reader : reads->readers)
                 {
-                    reads->done(reads->outcome);
+                    reader(reads->outcome);
                 }
+                read_jobs_for_waiting();
             });
     }
 }
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -679,8 +679,15 @@
 {
     const bool has_allowed_workers =
         !step.requires_permits() || !step.step->permits.allowed.empty();
-    if (!has_allowed_workers || step.urgency != urgency_class::in_time ||
-        reserved_workers_.size() >= settings_.max_reserving_gangs ||
+    // A gang that is out of time only holds up steps that are so too. Without a
+    // reservation it would wait until all of them have ended.
+    const bool out_of_time = step.urgency == urgency_class::excess ||
+                             step.urgency == urgency_class::hopeless;
+    const std::size_t max_reserving = step.urgency == urgency_class::in_time
+                                          ? settings_.max_reserving_gangs
+                                      : out_of_time ? 1
+                                                    : 0;
+    if (!has_allowed_workers || reserved_workers_.size() >= max_reserving ||
         reserved_workers_.contains(step.step->id))
     {
         return;
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -313,6 +313,26 @@
     CHECK(world.starts_of("a").size() == 1);
 }
 
+TEST_CASE(
+    "many lookups of unknown jobs share reads of the store", "[fleet][load]")
+{
+    fleet_world world(1, 1);
+    world.run(500ms);
+    const std::uint64_t before = world.store.calls.reads;
+    std::size_t answered = 0;
+    for (int n = 0; n < 200; ++n)
+    {
+        world.owner()->look_up(
+            job_id("none" + std::to_string(n)),
+            [&](const result<fleet::job_view>& view)
+            { answered += view.has_value() && !view->known ? 1 : 0; });
+    }
+    world.run(100ms);
+    CHECK(answered == 200);
+    // Two passes over the topics: one in flight, and one for those after it.
+    CHECK(world.store.calls.reads - before <= 40);
+}
+
 TEST_CASE("jobs of every topic run, and are deleted where they are", "[fleet]")
 {
     fleet_world world;
