--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -675,6 +675,16 @@
     return false;
 }
 
+std::size_t planner::count_reserved() const
+{
+    std::size_t count = 0;
+    for (const auto& [step, reserved] : reserved_workers_)
+    {
+        count += reserved.size();
+    }
+    return count;
+}
+
 void planner::reserve_workers(planning_pass& pass, candidate& step)
 {
     const bool has_allowed_workers =
@@ -683,11 +693,13 @@
     // reservation it would wait until all of them have ended.
     const bool out_of_time = step.urgency == urgency_class::excess ||
                              step.urgency == urgency_class::hopeless;
-    const std::size_t max_reserving = step.urgency == urgency_class::in_time
-                                          ? settings_.max_reserving_gangs
-                                      : out_of_time ? 1
-                                                    : 0;
-    if (!has_allowed_workers || reserved_workers_.size() >= max_reserving ||
+    const bool may_reserve =
+        step.urgency == urgency_class::in_time
+            ? reserved_workers_.size() < settings_.max_reserving_gangs
+            : out_of_time &&
+                  count_reserved() * settings_.late_reservation_divisor <=
+                      pass.workers.all().size();
+    if (!has_allowed_workers || !may_reserve ||
         reserved_workers_.contains(step.step->id))
     {
         return;
@@ -872,6 +884,20 @@
             named.push_back(worker);
         }
     }
+    const std::size_t most = std::min(
+        settings_.max_workers_per_request,
+        named.size() + 1 + named.size() / settings_.spare_worker_divisor);
+    for (const step_permits::grant& grant : step.step->permits.allowed)
+    {
+        const worker_entry* worker = pass.workers.at(grant.worker);
+        if (named.size() < most && worker != nullptr &&
+            step.needs.fits_in(worker->free_resources()) &&
+            may_run(pass, step, *worker) &&
+            std::find(named.begin(), named.end(), worker) == named.end())
+        {
+            named.push_back(worker);
+        }
+    }
     request_permits(pass, step, named);
 }
 
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -79,6 +79,12 @@
     /// While this many gangs have reservations, no further gang reserves
     /// workers whose runs have yet to end.
     std::size_t max_reserving_gangs = 3;
+    /// Gangs that are out of time may have reserved at most this part of the
+    /// workers when another one of them reserves.
+    std::size_t late_reservation_divisor = 8;
+    /// A request for a gang that would fit names further workers, one for each
+    /// this many, as some may be taken before the response arrives.
+    std::size_t spare_worker_divisor = 8;
     /// How long the computed urgency limits of a step are used, as estimates of
     /// run times change slowly.
     milliseconds urgency_refresh{1'000};
@@ -109,6 +115,12 @@
         bool inherited_may_start,
         permit_request_budget budget);
 
+    /// True if workers are reserved for this gang.
+    [[nodiscard]] bool has_reservation(const step_id& gang) const
+    {
+        return reserved_workers_.contains(gang);
+    }
+
     /// Records the duration of a successful run.
     void note_run_time(const queue_name& queue, milliseconds took)
     {
@@ -184,7 +196,10 @@
     /// Reserves workers for a gang that does not fit yet, so that it fits once
     /// their present runs have ended.
     void reserve_workers(planning_pass& pass, candidate& step);
-    void reserve(planning_pass& pass, worker_handle worker, const candidate&);
+    /// Number of workers that gangs have reserved.
+    [[nodiscard]] std::size_t count_reserved() const;
+    void
+    reserve(planning_pass& pass, worker_handle worker, const candidate& step);
     void request_task_permits(planning_pass& pass, candidate& step);
     /// Adds workers that lack free resources now to a permit request.
     void add_busy_workers(
--- a/tests/fleet/large_fleet_load_test.cpp
+++ b/tests/fleet/large_fleet_load_test.cpp
@@ -315,3 +315,31 @@
     }
     CHECK(started == gangs * members);
 }
+
+TEST_CASE(
+    "late gangs reserve workers beside each other in a fleet full of late work",
+    "[load]")
+{
+    large_fleet fleet;
+    fleet.leave_free(4);
+    // Four gangs that need whole workers, in a fleet where none is idle.
+    constexpr int gangs = 4;
+    for (int n = 0; n < gangs; ++n)
+    {
+        fleet.submit("gang" + std::to_string(n), "plans", 30, 30, true);
+    }
+    fleet.now += 60s;
+    std::size_t reserving = 0;
+    for (int round = 0; round < 200 && reserving < gangs; ++round)
+    {
+        fleet.now += 20ms;
+        fleet.allow_all(fleet.decide());
+        reserving = 0;
+        for (int n = 0; n < gangs; ++n)
+        {
+            const step_id gang{job_id("gang" + std::to_string(n)), 0, 0};
+            reserving += fleet.decider.has_reservation(gang) ? 1 : 0;
+        }
+    }
+    CHECK(reserving == gangs);
+}
