--- a/tests/site/message_codec_test.cpp
+++ b/tests/site/message_codec_test.cpp
@@ -78,6 +78,43 @@
             .has_value());
 }
 
+TEST_CASE("a worker's status may have more fields and columns", "[site]")
+{
+    const auto status = site::decode_worker_status(
+        R"({"new":{"a":[1,{"b":null}]},"born":7,"running":[
+        ["5c0e7a21d94b36f8.0.1.17",2,"00ba",41,12.5,["x"]]],"finished":null,
+        "list":[[1],"y"]})");
+    REQUIRE(status.has_value());
+    CHECK(status->incarnation == 7);
+    REQUIRE(status->running.size() == 1);
+    CHECK(status->running[0].run == 2);
+    CHECK(status->running[0].percent == 41.0);
+    CHECK(status->ended.empty());
+}
+
+TEST_CASE("a worker's status with a wrong field is malformed", "[site]")
+{
+    for (const char* body :
+         {"",
+          "[]",
+          "5",
+          R"({"born":"7"})",
+          R"({"born":-7})",
+          R"({"clockMs":[]})",
+          R"({"running":{}})",
+          R"({"running":[null]})",
+          R"({"running":[["5c0e7a21d94b36f8.0.1.17",2,"00ba"]]})",
+          R"({"running":[["5c0e7a21d94b36f8.0.1.17","2","00ba",41]]})",
+          R"({"running":[[["x"],2,"00ba",41]]})",
+          R"({"finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"gone",""]]})",
+          R"({"finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"done"]]})",
+          R"({"born":7)"})
+    {
+        INFO(body);
+        CHECK_FALSE(site::decode_worker_status(body).has_value());
+    }
+}
+
 TEST_CASE("an invalid registration names no worker", "[site]")
 {
     const site::site_records records;
