--- a/src/fleet/event_text.hpp
+++ b/src/fleet/event_text.hpp
@@ -21,4 +21,33 @@
     return std::to_string(time.count());
 }
 
+/// A list of runs for one log line, as `TASK/RUN` separated by spaces. A long
+/// list is cut, and the number of the runs left out follows as `+N`.
+class run_list_text
+{
+public:
+    void add(const task_ref& task, run_number run)
+    {
+        ++count_;
+        if (count_ <= max_listed)
+        {
+            listed_ += (listed_.empty() ? "" : " ") + text_of(task) + "/" +
+                       std::to_string(run);
+        }
+    }
+    [[nodiscard]] std::size_t count() const noexcept { return count_; }
+    [[nodiscard]] std::string str() const
+    {
+        return count_ <= max_listed
+                   ? listed_
+                   : listed_ + " +" + std::to_string(count_ - max_listed);
+    }
+
+private:
+    /// Keeps a take-over of hundreds of workers within the log's buffer.
+    static constexpr std::size_t max_listed = 16;
+    std::string listed_;
+    std::size_t count_ = 0;
+};
+
 } // namespace acaciastile::fleet
--- a/src/fleet/job_tracker.cpp
+++ b/src/fleet/job_tracker.cpp
@@ -244,7 +244,7 @@
     }
 }
 
-bool job_tracker::adopt_run(
+adoption job_tracker::adopt_run(
     const task_ref& task,
     run_number run,
     const worker_id& worker,
@@ -253,14 +253,22 @@
     job_entry* job = find(task.step.job);
     step_entry* step = find(task.step);
     task_entry* entry = find(task);
-    if (job == nullptr || entry == nullptr || job->is_final() ||
-        entry->state != task_entry::phase::waiting)
+    if (job == nullptr || entry == nullptr)
     {
-        return false;
+        return adoption::unknown_task;
+    }
+    if (job->is_final())
+    {
+        return adoption::job_ended;
+    }
+    if (entry->state != task_entry::phase::waiting)
+    {
+        return entry->state == task_entry::phase::done ? adoption::task_done
+                                                       : adoption::task_active;
     }
     begin_run(*step, task.index, run, worker);
     entry->checkpoint = checkpoint;
-    return true;
+    return adoption::adopted;
 }
 
 void job_tracker::set_waiting(step_entry& step, task_entry& task)
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -131,6 +131,16 @@
     job_failed     ///< The last attempt that the queue allows has failed.
 };
 
+/// What became of a run that a worker or an absence record has reported.
+enum class adoption
+{
+    adopted,
+    unknown_task,
+    job_ended,
+    task_done,
+    task_active ///< The task already has a run.
+};
+
 /// Tracks the tasks of all accepted jobs: which are waiting, running or done.
 /// Computed from the records of the store and the ended runs that workers
 /// report; does no I/O. Jobs are dropped some time after their end.
@@ -193,10 +203,9 @@
         run_number run,
         const worker_id& worker);
 
-    /// Records a run that a worker has reported. Returns false if it must be
-    /// stopped: the task is unknown, done or already active, or its job has
-    /// ended.
-    bool adopt_run(
+    /// Records a run that a worker has reported. A run that is not adopted must
+    /// be stopped.
+    adoption adopt_run(
         const task_ref& task,
         run_number run,
         const worker_id& worker,
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -126,6 +126,8 @@
     job_state state = job_state::queued;
 };
 
+class run_list_text;
+
 /// Schedules the whole fleet while this VM owns it: tracks accepted jobs and
 /// registered workers, starts and stops runs, processes their ends and stores
 /// progress. A new instance is created each time a VM gains ownership. All
@@ -211,7 +213,8 @@
     void restore_absence(const worker_id& id, const store_record& record);
     /// Restores workers and runs from the absence records of earlier owners.
     void restore_absent_workers();
-    void restore_absent_run(
+    /// Returns false if the run was not adopted.
+    bool restore_absent_run(
         worker_entry& worker, const task_ref& task, run_number number);
     /// Adds records for workers that are absent and withdraws those of workers
     /// that have returned.
@@ -308,7 +311,18 @@
     /// again.
     void clear_unread_jobs(const worker_id& worker);
     void apply_end(worker_entry& worker, const ended_run& ended);
-    void apply_running(worker_entry& worker, const running_run& running);
+    /// Returns true if the run was adopted from an earlier owner.
+    bool apply_running(worker_entry& worker, const running_run& running);
+    /// Logs the runs that were adopted from an earlier owner, if any.
+    void report_adopted(
+        const worker_entry& worker,
+        std::string_view from,
+        const run_list_text& runs);
+    void report_rejected_adoption(
+        const worker_entry& worker,
+        const task_ref& task,
+        run_number run,
+        adoption outcome);
     /// Handles runs that are recorded for the worker but missing in its status.
     void reconcile_missing_runs(
         worker_entry& worker, instant sent_at, const worker_status& status);
--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -1,3 +1,4 @@
+#include "fleet/event_text.hpp"
 #include "fleet/owner.hpp"
 
 namespace acaciastile::fleet
@@ -42,21 +43,32 @@
         }
         workers_.set_unreachable(*worker);
         worker->lease_expired_at = inherited_leases_end_;
+        run_list_text restored;
         for (const auto& [task, number] : absence.runs)
         {
-            restore_absent_run(*worker, task, number);
+            if (restore_absent_run(*worker, task, number))
+            {
+                restored.add(task, number);
+            }
         }
+        report_adopted(*worker, "absence", restored);
     }
 }
 
-void fleet_owner::restore_absent_run(
+bool fleet_owner::restore_absent_run(
     worker_entry& worker, const task_ref& task, run_number number)
 {
     const job_entry* job = jobs_.find(task.step.job);
-    if (job == nullptr ||
-        !jobs_.adopt_run(task, number, worker.registration.id, {}))
+    if (job == nullptr)
+    {
+        return false; // The job has ended.
+    }
+    const adoption outcome =
+        jobs_.adopt_run(task, number, worker.registration.id, {});
+    if (outcome != adoption::adopted)
     {
-        return; // The job has ended, or the task is done.
+        report_rejected_adoption(worker, task, number, outcome);
+        return false;
     }
     run_entry run;
     run.task = task;
@@ -67,6 +79,7 @@
     run.needs = resources_needed(job->spec(task.step));
     run.account = job->job.account;
     workers_.add_run(worker, std::move(run));
+    return true;
 }
 
 void fleet_owner::update_absence_records()
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -186,6 +186,7 @@
     }
     workers_.note_clock(worker, status.clock, sent_at, now);
     clear_unread_jobs(worker.registration.id);
+    run_list_text adopted;
     for (const running_run& each : status.running)
     {
         if (may_be_unread(each.task.step.job))
@@ -193,8 +194,12 @@
             defer_unread_job(worker, each.task.step.job);
             continue;
         }
-        apply_running(worker, each);
+        if (apply_running(worker, each))
+        {
+            adopted.add(each.task, each.run);
+        }
     }
+    report_adopted(worker, "status", adopted);
     for (const ended_run& each : status.ended)
     {
         if (each.number <= worker.processed)
@@ -247,7 +252,7 @@
     }
 }
 
-void fleet_owner::apply_running(
+bool fleet_owner::apply_running(
     worker_entry& worker, const running_run& running)
 {
     const auto at = worker.runs.find(running.task);
@@ -264,11 +269,14 @@
         {
             run.state = run_entry::phase::running;
         }
-        return;
+        return false;
     }
     if (at != worker.runs.end())
     {
-        return; // An older run of the task; its end will be reported.
+        // An older run of the task; its end will be reported.
+        report_rejected_adoption(
+            worker, running.task, running.run, adoption::task_active);
+        return false;
     }
     const job_entry* job = jobs_.find(running.task.step.job);
     run_entry run;
@@ -284,16 +292,57 @@
         run.needs = resources_needed(job->spec(running.task.step));
         run.account = job->job.account;
     }
-    const bool ours = jobs_.adopt_run(
+    const adoption outcome = jobs_.adopt_run(
         running.task, running.run, worker.registration.id, running.checkpoint);
     workers_.add_run(worker, std::move(run));
-    if (!ours)
+    if (outcome != adoption::adopted)
     {
+        report_rejected_adoption(worker, running.task, running.run, outcome);
         stop_run(
             worker,
             worker.runs.at(running.task),
             "the run belongs to no active task");
     }
+    return outcome == adoption::adopted;
+}
+
+void fleet_owner::report_adopted(
+    const worker_entry& worker,
+    std::string_view from,
+    const run_list_text& runs)
+{
+    if (runs.count() == 0)
+    {
+        return;
+    }
+    ports_.metrics.count(
+        "fleet_adoptions", from, static_cast<double>(runs.count()));
+    ports_.events.emit(
+        {event_number::runs_adopted,
+         {{"worker", worker.registration.id.str()},
+          {"from", std::string(from)},
+          {"runs", runs.str()}}});
+}
+
+void fleet_owner::report_rejected_adoption(
+    const worker_entry& worker,
+    const task_ref& task,
+    run_number run,
+    adoption outcome)
+{
+    constexpr std::array<const char*, 5> names{
+        "adopted", "unknown_task", "job_ended", "task_done", "task_active"};
+    const char* name = names[static_cast<std::size_t>(outcome)];
+    const task_entry* entry = jobs_.find(task);
+    ports_.metrics.count("fleet_adoptions_rejected", name, 1);
+    ports_.events.emit(
+        {event_number::adoption_rejected,
+         {{"task", text_of(task)},
+          {"run", std::to_string(run)},
+          {"worker", worker.registration.id.str()},
+          {"reason", name},
+          {"current", entry == nullptr ? "" : std::to_string(entry->run)},
+          {"current_worker", entry == nullptr ? "" : entry->worker.str()}}});
 }
 
 void fleet_owner::apply_end(worker_entry& worker, const ended_run& ended)
