Failing test: a third run of a task after a take-over (KNOWN-RED)

The test fails on this code for a first run that failed and for one that was stopped: three starts instead of two, the third beside the second. The stand-in's workers can end runs in a way that a test chooses.

--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -80,6 +80,17 @@
     return workers_.at(id)->active_faults;
 }
 
+void worker_pool::end_runs(const task_ref& task, run_end how)
+{
+    for (const auto& [id, each] : workers_)
+    {
+        if (const auto at = each->runs.find(task); at != each->runs.end())
+        {
+            finish(*each, task, at->second.number, how);
+        }
+    }
+}
+
 std::size_t worker_pool::running() const
 {
     std::size_t count = 0;
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -81,6 +81,8 @@
     /// Restarts a worker: its runs end, and a new incarnation has the same id.
     void restart(const worker_id& id);
     [[nodiscard]] faults& faults_of(const worker_id& id);
+    /// Ends the active runs of a task in the given way.
+    void end_runs(const fleet::task_ref& task, fleet::run_end how);
 
     std::function<task_behaviour(const fleet::task_ref&)> behaviour;
     std::function<resources(const fleet::task_ref&)> needs;
--- /dev/null
+++ b/tests/fleet/task_runs_test.cpp
@@ -0,0 +1,65 @@
+#include "support/fleet_world.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciastile;
+using namespace acaciastile::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Starts a world with the tasks a and b on the worker w0, whose registration
+/// then expires while it stays reachable, and with an idle worker w1. The first
+/// run of a ends on w0 as `first_end` says, the second takes 20 s. When this
+/// returns, the second run is on w1, and the store still says that both first
+/// runs may be on w0.
+void run_again_elsewhere(fleet_world& world, fleet::run_end first_end)
+{
+    int runs_of_a = 0;
+    world.workers.behaviour = [runs_of_a](const fleet::task_ref& task) mutable
+    {
+        const bool first = task.step.job == job_id("a") && runs_of_a++ == 0;
+        return standin::task_behaviour{first ? 2s : 20s, false};
+    };
+    world.submit("a", {tasks(1)});
+    world.submit("b", {tasks(1)});
+    world.run(500ms);
+    world.store.put("registry", "w0", "");
+    world.run(500ms);
+    world.add_worker("w1");
+    world.add_worker("w2");
+    if (first_end == fleet::run_end::failed)
+    {
+        world.workers.faults_of(worker_id("w0")).failing = true;
+    }
+    else
+    {
+        world.workers.end_runs({{job_id("a"), 0, 0}, 0}, first_end);
+    }
+    world.run(2s);
+    REQUIRE(world.starts_of("a").size() == 2);
+    REQUIRE(world.starts_of("a").back().worker != worker_id("w0"));
+    REQUIRE_FALSE(
+        world.store.newest(fleet::topics::progress, "away/w0").empty());
+}
+
+} // namespace
+
+// Guards against a third run of a task after a take-over: the new owner learnt
+// of an ended run from a stored absence, took it for the task's current one and
+// stopped the run that was active on another worker.
+TEST_CASE(
+    "a run that a stored absence still lists does not displace the active one",
+    "[fleet][known-red]")
+{
+    const auto first_end =
+        GENERATE(fleet::run_end::failed, fleet::run_end::stopped);
+    fleet_world world(2, 1);
+    run_again_elsewhere(world, first_end);
+    world.owner_vm()->kill();
+    world.run(4s);
+    REQUIRE(world.owner() != nullptr);
+    CHECK(world.broken_promises().empty());
+    CHECK(world.starts_of("a").size() == 2);
+}
