Each run that a worker lists occupies its resources

A worker could be given more than it has room for (LIMIT) while it had two runs of one task: runs were kept by task, so the owner dropped the second one from the worker's status, neither counted nor stopped it, and overwrote one with the other where both were added, which leaked resources.

Runs of a worker are kept by task and run number. The stand-in's workers can have two runs of a task, as the platform's can.

--- a/src/fleet/job.hpp
+++ b/src/fleet/job.hpp
@@ -91,6 +91,22 @@
 /// also when the fleet's owner changes.
 using run_number = std::uint64_t;
 
+/// One run of one task.
+struct run_ref
+{
+    task_ref task;
+    run_number run = 0;
+
+    [[nodiscard]] bool operator==(const run_ref&) const = default;
+    [[nodiscard]] auto operator<=>(const run_ref&) const = default;
+
+    template<class H>
+    friend H AbslHashValue(H state, const run_ref& id)
+    {
+        return H::combine(std::move(state), id.task, id.run);
+    }
+};
+
 /// How a run ended.
 enum class run_end
 {
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -335,7 +335,7 @@
     /// Ends all runs of the worker except those in `kept`.
     void end_lost_runs(
         worker_entry& worker,
-        const std::set<std::pair<task_ref, run_number>>& kept,
+        const std::set<run_ref>& kept,
         std::string_view reason);
     /// Ends the runs of unreachable workers whose lease has expired.
     void expire_leases();
--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -84,7 +84,9 @@
     {
         report_rejected_adoption(worker, task, number, outcome);
         stop_run(
-            worker, worker.runs.at(task), "a later run of the task is live");
+            worker,
+            worker.runs.at({task, number}),
+            "a later run of the task is live");
         return false;
     }
     stop_other_runs(task, number, "a later run of the task is live");
@@ -132,9 +134,9 @@
         absence_record absence;
         absence.incarnation = worker.registration.incarnation;
         absence.address = worker.registration.address;
-        for (const auto& [task, run] : worker.runs)
+        for (const auto& [id, run] : worker.runs)
         {
-            absence.runs.emplace_back(task, run.run);
+            absence.runs.emplace_back(id.task, id.run);
         }
         if (absences_.record_absence(id, absence))
         {
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -55,8 +55,8 @@
     {
         return;
     }
-    const auto at = worker->runs.find(decision.task);
-    if (at == worker->runs.end() || at->second.run != decision.run)
+    const auto at = worker->runs.find({decision.task, decision.run});
+    if (at == worker->runs.end())
     {
         return; // The worker has already reported the end of the run.
     }
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -152,10 +152,10 @@
     ++worker.status_count;
     if (status.incarnation != worker.registration.incarnation)
     {
-        std::set<std::pair<task_ref, run_number>> listed;
+        std::set<run_ref> listed;
         for (const running_run& each : status.running)
         {
-            listed.emplace(each.task, each.run);
+            listed.insert({each.task, each.run});
         }
         if (worker.sealed || !worker.runs.empty())
         {
@@ -255,8 +255,8 @@
 bool fleet_owner::apply_running(
     worker_entry& worker, const running_run& running)
 {
-    const auto at = worker.runs.find(running.task);
-    if (at != worker.runs.end() && at->second.run == running.run)
+    const auto at = worker.runs.find({running.task, running.run});
+    if (at != worker.runs.end())
     {
         run_entry& run = at->second;
         run.listed_in = worker.status_count;
@@ -271,13 +271,6 @@
         }
         return false;
     }
-    if (at != worker.runs.end())
-    {
-        // An older run of the task; its end will be reported.
-        report_rejected_adoption(
-            worker, running.task, running.run, adoption::superseded);
-        return false;
-    }
     const job_entry* job = jobs_.find(running.task.step.job);
     run_entry run;
     run.task = running.task;
@@ -302,7 +295,10 @@
         return true;
     }
     report_rejected_adoption(worker, running.task, running.run, outcome);
-    stop_run(worker, worker.runs.at(running.task), "the run was not adopted");
+    stop_run(
+        worker,
+        worker.runs.at({running.task, running.run}),
+        "the run was not adopted");
     return false;
 }
 
@@ -371,9 +367,8 @@
 {
     constexpr std::array<const char*, 6> names{
         "done", "failed", "stopped", "lapsed", "gang_broken", "gang_alone"};
-    const auto started = worker.runs.find(task);
-    if (how == run_end::done && started != worker.runs.end() &&
-        started->second.run == run)
+    const auto started = worker.runs.find({task, run});
+    if (how == run_end::done && started != worker.runs.end())
     {
         if (const job_entry* job = jobs_.find(task.step.job))
         {
@@ -429,9 +424,9 @@
     {
         return;
     }
-    std::vector<std::pair<task_ref, run_number>> missing;
-    std::vector<task_ref> to_stop;
-    for (auto& [task, run] : worker.runs)
+    std::vector<run_ref> missing;
+    std::vector<run_ref> to_stop;
+    for (const auto& [id, run] : worker.runs)
     {
         if (run.listed_in == worker.status_count)
         {
@@ -444,45 +439,45 @@
         case run_entry::phase::uncertain:
             if (sent_at >= run.confirmed)
             {
-                to_stop.push_back(task);
+                to_stop.push_back(id);
             }
             break;
         case run_entry::phase::running:
             if (sent_at > run.confirmed)
             {
-                missing.emplace_back(task, run.run);
+                missing.push_back(id);
             }
             break;
         case run_entry::phase::stopping:
             if (run.stop_answered && sent_at > *run.stop_answered)
             {
-                missing.emplace_back(task, run.run);
+                missing.push_back(id);
             }
             break;
         }
     }
-    for (const task_ref& task : to_stop)
+    for (const run_ref& id : to_stop)
     {
         stop_run(
-            worker, worker.runs.at(task), "the start order was not answered");
+            worker, worker.runs.at(id), "the start order was not answered");
     }
-    for (const auto& [task, run] : missing)
+    for (const run_ref& id : missing)
     {
-        end_run(worker, task, run, run_end::stopped, {});
+        end_run(worker, id.task, id.run, run_end::stopped, {});
     }
 }
 
 void fleet_owner::end_lost_runs(
     worker_entry& worker,
-    const std::set<std::pair<task_ref, run_number>>& kept,
+    const std::set<run_ref>& kept,
     std::string_view reason)
 {
-    std::vector<std::pair<task_ref, run_number>> lost;
-    for (const auto& [task, run] : worker.runs)
+    std::vector<run_ref> lost;
+    for (const auto& [id, run] : worker.runs)
     {
-        if (!kept.contains({task, run.run}))
+        if (!kept.contains(id))
         {
-            lost.emplace_back(task, run.run);
+            lost.push_back(id);
         }
     }
     for (const auto& [task, run] : lost)
@@ -561,8 +556,8 @@
                 {
                     return;
                 }
-                const auto at = target->runs.find(task);
-                if (at == target->runs.end() || at->second.run != number)
+                const auto at = target->runs.find({task, number});
+                if (at == target->runs.end())
                 {
                     return;
                 }
@@ -644,8 +639,8 @@
         {
             continue;
         }
-        const auto at = worker->runs.find(task);
-        if (at != worker->runs.end() && at->second.run == live.run)
+        const auto at = worker->runs.find({task, live.run});
+        if (at != worker->runs.end())
         {
             stop_run(*worker, at->second, reason);
         }
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -387,10 +387,8 @@
     const auto compare = [&](worker_entry* worker)
     {
         ++pass.examined;
-        // An earlier run of the task may still be active on a worker.
         if (!step.needs.fits_in(worker->free_resources()) ||
-            !below_worker_limit(step, *worker) ||
-            (task.run != 0 && worker->runs.contains({step.step->id, index})))
+            !below_worker_limit(step, *worker))
         {
             return;
         }
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -245,18 +245,23 @@
 
 void worker_table::add_run(worker_entry& worker, run_entry run)
 {
-    worker.used += run.needs;
+    const run_ref id{run.task, run.run};
+    const resources needs = run.needs;
+    const account_name account = run.account;
+    if (!worker.runs.emplace(id, std::move(run)).second)
+    {
+        return;
+    }
+    worker.used += needs;
     update_free(worker);
-    account_use_[run.account] += run.needs;
-    const task_ref task = run.task;
-    worker.runs.insert_or_assign(task, std::move(run));
+    account_use_[account] += needs;
 }
 
 bool worker_table::remove_run(
     worker_entry& worker, const task_ref& task, run_number run)
 {
-    const auto at = worker.runs.find(task);
-    if (at == worker.runs.end() || at->second.run != run)
+    const auto at = worker.runs.find({task, run});
+    if (at == worker.runs.end())
     {
         return false;
     }
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -58,7 +58,7 @@
     /// Is in `worker_table::out_of_sight`.
     bool out_of_sight = false;
     resources used; ///< By its runs.
-    absl::flat_hash_map<task_ref, run_entry> runs;
+    absl::flat_hash_map<run_ref, run_entry> runs;
 
     // Positions in the worker's list of ended runs.
     /// Last entry that was processed.
@@ -196,6 +196,7 @@
     void note_clock(
         worker_entry& worker, worker_instant clock, instant asked, instant now);
 
+    /// Adds a run unless it is known already.
     void add_run(worker_entry& worker, run_entry run);
     /// Removes a run and frees its resources. Returns false if there is no such
     /// run.
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "standin/worker_pool.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace acaciastile::standin
 {
@@ -12,17 +13,12 @@
 /// One incarnation of a worker.
 struct worker_pool::incarnation_state
 {
-    struct run
-    {
-        fleet::run_number number = 0;
-        instant started{};
-        bool working = false;
-    };
     fleet::worker_registration about;
     instant born{};
     std::uint64_t token = 0;
     worker_instant lease{};
-    std::map<task_ref, run> runs;
+    /// A later run of a task may start while an earlier one is still listed.
+    std::set<std::pair<task_ref, fleet::run_number>> runs;
     /// For each task, runs up to this number are not started any more.
     std::map<task_ref, fleet::run_number> last_superseded_run;
     std::vector<fleet::ended_run> ended;
@@ -65,7 +61,7 @@
              clock_.now(),
              id,
              task,
-             run.number,
+             run,
              run_end::lapsed,
              0,
              {},
@@ -84,9 +80,13 @@
 {
     for (const auto& [id, each] : workers_)
     {
-        if (const auto at = each->runs.find(task); at != each->runs.end())
+        const auto runs = each->runs;
+        for (const auto& [running, run] : runs)
         {
-            finish(*each, task, at->second.number, how);
+            if (running == task)
+            {
+                finish(*each, task, run, how);
+            }
         }
     }
 }
@@ -191,9 +191,8 @@
     }
     while (!worker.runs.empty())
     {
-        const task_ref task = worker.runs.begin()->first;
-        finish(
-            worker, task, worker.runs.begin()->second.number, run_end::lapsed);
+        const auto [task, run] = *worker.runs.begin();
+        finish(worker, task, run, run_end::lapsed);
     }
 }
 
@@ -203,13 +202,10 @@
     fleet::run_number run,
     run_end how)
 {
-    const auto at = worker.runs.find(task);
-    if (worker.ended_by_restart || at == worker.runs.end() ||
-        at->second.number != run)
+    if (worker.ended_by_restart || worker.runs.erase({task, run}) == 0)
     {
         return;
     }
-    worker.runs.erase(at);
     auto& last_superseded_run = worker.last_superseded_run[task];
     last_superseded_run = std::max(last_superseded_run, run);
     worker.ended.push_back({++worker.last_end, task, run, how, {}});
@@ -238,7 +234,7 @@
         std::vector<task_ref> broken;
         for (const auto& [member, member_run] : other->runs)
         {
-            if (member.step == task.step && member_run.number == run)
+            if (member.step == task.step && member_run == run)
             {
                 broken.push_back(member);
             }
@@ -258,9 +254,8 @@
     {
         for (const auto& [task, member_run] : each->runs)
         {
-            present += size == 1
-                           ? task == any
-                           : task.step == any.step && member_run.number == run;
+            present += size == 1 ? task == any
+                                 : task.step == any.step && member_run == run;
         }
     }
     if (present < size)
@@ -277,7 +272,7 @@
                 std::vector<task_ref> members;
                 for (const auto& [task, member_run] : each->runs)
                 {
-                    if (member_run.number == run &&
+                    if (member_run == run &&
                         (size == 1 ? task == any : task.step == any.step))
                     {
                         members.push_back(task);
@@ -320,7 +315,6 @@
         answer.refusal = start_refusal::too_late;
         return answer;
     }
-    const auto present = worker.runs.find(order.task);
     const auto last_superseded_run =
         worker.last_superseded_run.find(order.task);
     if (last_superseded_run != worker.last_superseded_run.end() &&
@@ -330,7 +324,7 @@
         return answer;
     }
     extend(worker, until);
-    if (present != worker.runs.end() && present->second.number == order.run)
+    if (worker.runs.contains({order.task, order.run}))
     {
         return answer;
     }
@@ -339,7 +333,7 @@
         answer.refusal = start_refusal::permit;
         return answer;
     }
-    worker.runs[order.task] = {order.run, clock_.now(), false};
+    worker.runs.emplace(order.task, order.run);
     events_.push_back(
         {worker_event::kind::started,
          clock_.now(),
@@ -386,8 +380,7 @@
                 return refuse(refusal_code::stale_epoch, "fence");
             }
             worker.token = token;
-            const auto at = worker.runs.find(task);
-            if (at == worker.runs.end() || at->second.number != run)
+            if (!worker.runs.contains({task, run}))
             {
                 auto& last_superseded_run = worker.last_superseded_run[task];
                 last_superseded_run = std::max(last_superseded_run, run);
@@ -410,7 +403,7 @@
     status.clock = clock_of(worker);
     for (const auto& [task, run] : worker.runs)
     {
-        status.running.push_back({task, run.number, {}, 0});
+        status.running.push_back({task, run, {}, 0});
     }
     status.ended = worker.ended;
     return status;
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -1,5 +1,6 @@
 #include "support/fleet_world.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace acaciastile;
@@ -63,3 +64,39 @@
     CHECK(world.broken_promises().empty());
     CHECK(world.starts_of("a").size() == 2);
 }
+
+// Guards against starts over a worker's capacity: the owner did not count a run
+// that a worker listed beside another run of the same task.
+TEST_CASE(
+    "a worker that lists two runs of a task is not filled beyond its capacity",
+    "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    const auto over_capacity = [&world]
+    {
+        const auto broken = world.broken_promises();
+        return std::count(broken.begin(), broken.end(), "over capacity: w0");
+    };
+    world.submit("a", {tasks(1, 6)});
+    world.run(500ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    // An order of an earlier owner whose run the worker still lists.
+    fleet::start_order order;
+    order.task = {{job_id("a"), 0, 0}, 0};
+    order.run = world.starts_of("a").front().run - 1;
+    world.workers.start(
+        {worker_id("w0"), "w0", 1},
+        world.owner()->token(),
+        worker_instant(20s),
+        order,
+        [](const result<fleet::start_answer>&) {});
+    world.run(1'500ms);
+    world.submit("b", {tasks(2, 6)});
+    world.run(2s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(over_capacity() == 0);
+    CHECK(world.workers.running() == 2);
+}
--- a/tests/fleet/worker_table_test.cpp
+++ b/tests/fleet/worker_table_test.cpp
@@ -98,3 +98,26 @@
     workers.prune_out_of_sight(is_settled);
     CHECK(workers.out_of_sight().empty());
 }
+
+// Guards against starts over a worker's capacity: resources of a run were not
+// counted, or never freed, if the worker had another run of the same task.
+TEST_CASE("each run of a task occupies resources of its worker")
+{
+    worker_table workers;
+    workers.upsert(registration_of("a", "svc", 8));
+    worker_entry& worker = *workers.find(worker_id("a"));
+    run_entry run;
+    run.task = {{job_id("j"), 0, 0}, 0};
+    run.needs = {3'000, 0, 0};
+    for (const run_number number : {5, 8})
+    {
+        run.run = number;
+        workers.add_run(worker, run);
+    }
+    CHECK(worker.used.milli_processors == 6'000);
+    CHECK(workers.remove_run(worker, run.task, 5));
+    CHECK(worker.used.milli_processors == 3'000);
+    CHECK(workers.remove_run(worker, run.task, 8));
+    CHECK(worker.used.milli_processors == 0);
+    CHECK(count_free(workers, "svc", 8) == 1);
+}
