A restarted worker gets no task before its new registration is read

A worker could be given more than it has room for (LIMIT), or a task of a step that it may not run, after it restarted as another kind: its status report told the new incarnation, and until the registry was read it was filled by the capacity, labels and rack of the earlier one.

A worker is usable only while its registration is of the incarnation that it reports. The test failed before: 4 tasks of 4 cores ran on a worker that had restarted with 8.

--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -145,6 +145,7 @@
     {
         entry = &create(registration.id);
         entry->registration = registration;
+        entry->described_incarnation = registration.incarnation;
         index(*entry);
         return true;
     }
@@ -160,6 +161,7 @@
     unindex(*entry);
     entry->registration = registration;
     entry->registration.incarnation = incarnation;
+    entry->described_incarnation = registration.incarnation;
     index(*entry);
     return restarted;
 }
@@ -215,6 +217,7 @@
 bool worker_table::is_usable(const worker_entry& worker, instant now) const
 {
     return worker.listed && worker.sealed && worker.reachable &&
+           worker.described_incarnation == worker.registration.incarnation &&
            !worker.has_absence_record && !worker.registration.draining &&
            worker.quarantined_until <= now;
 }
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -47,6 +47,10 @@
 {
     worker_handle handle = 0;
     worker_registration registration;
+    /// Incarnation that the capacity, labels and rack of `registration` belong
+    /// to. A restarted worker may differ in them, and may report its status
+    /// before it registers.
+    std::uint64_t described_incarnation = 0;
     bool listed = true; ///< The registry has an entry for it.
     /// If not listed: offset in the registry at which its entry was removed.
     log_offset dropped_at = 0;
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -41,16 +41,17 @@
 
 worker_pool::~worker_pool() = default;
 
-void worker_pool::add(fleet::worker_registration about)
+std::uint64_t worker_pool::add(fleet::worker_registration about)
 {
     about.incarnation = next_incarnation_++;
     auto created = std::make_shared<incarnation_state>();
     created->born = clock_.now();
     created->about = about;
     workers_[about.id] = std::move(created);
+    return about.incarnation;
 }
 
-void worker_pool::restart(const worker_id& id)
+std::uint64_t worker_pool::restart(const worker_id& id)
 {
     auto& at = workers_.at(id);
     fleet::worker_registration about = at->about;
@@ -68,7 +69,7 @@
              {}});
     }
     at->ended_by_restart = true;
-    add(std::move(about));
+    return add(std::move(about));
 }
 
 worker_pool::faults& worker_pool::faults_of(const worker_id& id)
@@ -185,7 +186,7 @@
 
 void worker_pool::expire_lease(incarnation_state& worker)
 {
-    if (clock_of(worker) < worker.lease)
+    if (worker.ended_by_restart || clock_of(worker) < worker.lease)
     {
         return;
     }
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -76,10 +76,12 @@
     }
     ~worker_pool() override;
 
-    /// Adds a worker, or a new incarnation of it if its id is known.
-    void add(fleet::worker_registration about);
+    /// Adds a worker, or a new incarnation of it if its id is known. Returns
+    /// the incarnation.
+    std::uint64_t add(fleet::worker_registration about);
     /// Restarts a worker: its runs end, and a new incarnation has the same id.
-    void restart(const worker_id& id);
+    /// Returns the incarnation.
+    std::uint64_t restart(const worker_id& id);
     [[nodiscard]] faults& faults_of(const worker_id& id);
     /// Ends the active runs of a task in the given way.
     void end_runs(const fleet::task_ref& task, fleet::run_end how);
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -183,7 +183,7 @@
     };
     world.submit("a", {tasks(3)});
     world.run(1s);
-    world.workers.restart(worker_id("w0"));
+    world.restart_worker("w0");
     CHECK(world.run_until("a", job_state::completed, 6s));
     CHECK(world.broken_promises().empty());
     CHECK(world.starts_of("a").size() == 2);
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -100,3 +100,26 @@
     CHECK(over_capacity() == 0);
     CHECK(world.workers.running() == 2);
 }
+
+// Guards against starts over a worker's capacity: a worker that had restarted
+// with fewer resources was filled by the capacity of its earlier incarnation
+// until the registry told the new one.
+TEST_CASE(
+    "a restarted worker gets no task before its new capacity is known",
+    "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.submit("a", {tasks(4, 4)});
+    world.run(500ms);
+    REQUIRE(world.workers.running() == 4);
+    // Longer than the status poll in flight, which the restart leaves without
+    // an answer.
+    world.restart_worker("w0", 8, 4s);
+    world.run(3'900ms);
+    CHECK(world.workers.running() == 0);
+    world.run(1'100ms);
+    CHECK(world.workers.running() == 2);
+}
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -130,12 +130,27 @@
     registration.address = id;
     registration.rack = rack_name(rack);
     registration.capacity = {cores * 1'000, gib * 1'024, 0};
-    workers.add(registration);
+    const std::uint64_t incarnation = workers.add(registration);
     std::ostringstream value;
-    value << "1 svc " << rack << ' ' << cores << ' ' << gib << " ready";
+    value << incarnation << " svc " << rack << ' ' << cores << ' ' << gib
+          << " ready";
     store.put("registry", id, value.str());
 }
 
+void fleet_world::restart_worker(
+    const std::string& id, std::int64_t cores, milliseconds registers_after)
+{
+    const std::uint64_t incarnation = workers.restart(worker_id(id));
+    const auto before =
+        plain_records().read_registration(id, store.newest("registry", id));
+    std::ostringstream value;
+    value << incarnation << " svc " << before->rack.str() << ' ' << cores << ' '
+          << before->capacity.memory_mib / 1'024 << " ready";
+    clock.after(
+        registers_after,
+        [this, id, text = value.str()] { store.put("registry", id, text); });
+}
+
 void fleet_world::register_worker(
     const std::string& id, const std::string& state)
 {
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -82,6 +82,12 @@
         std::int64_t gib = 64);
     void
     register_worker(const std::string& id, const std::string& state = "ready");
+    /// Restarts a worker, perhaps with another capacity. It registers again
+    /// after `registers_after`.
+    void restart_worker(
+        const std::string& id,
+        std::int64_t cores = 16,
+        milliseconds registers_after = milliseconds{100});
 
     /// Stores a job as the VM that accepts it does; the owner reads it from the
     /// jobs topic.
