A new owner counts what it has not heard of against caps of accounts

Tasks of earlier jobs were held back for that reason, but their use did not count.

While tasks of inherited jobs may not start, their use counts for the cap as if they ran.

--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -129,8 +129,25 @@
     plan decided;
     /// Steps and workers examined so far.
     std::size_t examined = 0;
+    /// By account index: what may be running unknown to this owner.
+    std::vector<resources> unknown_use;
+
+    /// True if the account stays within its cap with `added`, whatever is
+    /// running unknown to this owner.
+    [[nodiscard]] bool
+    within_cap(const candidate& step, const resources& added) const;
 };
 
+bool planner::planning_pass::within_cap(
+    const candidate& step, const resources& added) const
+{
+    return !step.has_cap() ||
+           acaciastile::fleet::within_cap(
+               workers.used_by(step.account->name) +
+                   unknown_use[step.job->account_index] + added,
+               step.account->cap);
+}
+
 plan planner::decide(
     job_tracker& jobs,
     worker_table& workers,
@@ -140,7 +157,7 @@
     permit_request_budget budget)
 {
     planning_pass pass{
-        jobs, workers, config, now, budget, ++pass_count_, {}, 0};
+        jobs, workers, config, now, budget, ++pass_count_, {}, 0, {}};
     reservations_.resize(workers.handle_count());
     std::vector<candidate> waiting =
         collect_candidates(pass, inherited_may_start);
@@ -180,6 +197,22 @@
     return std::move(pass.decided);
 }
 
+void planner::add_unknown_use(planning_pass& pass, const job_entry& job)
+{
+    for (const auto& steps : job.occurrences)
+    {
+        for (const step_entry& step : steps)
+        {
+            if (step.waiting > 0 && pass.jobs.is_ready(job, step))
+            {
+                pass.unknown_use[job.account_index] +=
+                    resources_needed(job.spec(step.id)) *
+                    static_cast<std::int64_t>(step.waiting);
+            }
+        }
+    }
+}
+
 std::vector<planner::candidate>
 planner::collect_candidates(planning_pass& pass, bool inherited_may_start)
 {
@@ -193,12 +226,14 @@
     {
         accounts.push_back(pass.config.find(name));
     }
+    pass.unknown_use.resize(accounts.size());
     std::vector<candidate> found;
     for (job_entry* job : pass.jobs.open())
     {
         if (job->has_unreconciled_runs ||
             (job->inherited && !inherited_may_start))
         {
+            add_unknown_use(pass, *job);
             continue;
         }
         const queue_settings* queue = queues[job->queue_index];
@@ -455,10 +490,7 @@
         {
             continue;
         }
-        if (step.has_cap() &&
-            !within_cap(
-                pass.workers.used_by(step.account->name) + step.needs,
-                step.account->cap))
+        if (!pass.within_cap(step, step.needs))
         {
             step.at_cap = true;
             return;
@@ -621,10 +653,7 @@
 bool planner::place_gang(planning_pass& pass, candidate& step)
 {
     const auto count = static_cast<std::int64_t>(step.step->tasks.size());
-    if (step.has_cap() &&
-        !within_cap(
-            pass.workers.used_by(step.account->name) + step.needs * count,
-            step.account->cap))
+    if (!pass.within_cap(step, step.needs * count))
     {
         return false;
     }
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -154,6 +154,9 @@
         std::pair<urgency_class, std::uint32_t> rank;
     };
 
+    /// Adds what the job's waiting tasks would use to the use of its account
+    /// that is not known: an earlier owner may have started them.
+    static void add_unknown_use(planning_pass& pass, const job_entry& job);
     /// Steps with waiting tasks, most urgent first.
     [[nodiscard]] std::vector<candidate>
     collect_candidates(planning_pass& pass, bool inherited_may_start);
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -6,6 +6,7 @@
 using namespace acaciastile;
 using namespace acaciastile::test;
 using namespace std::chrono_literals;
+using fleet::job_state;
 
 namespace
 {
@@ -123,3 +124,47 @@
     world.run(1'100ms);
     CHECK(world.workers.running() == 2);
 }
+
+// Guards against an account over its cap after a take-over: the new owner did
+// not count what may run on workers that it has not heard from yet.
+TEST_CASE(
+    "runs on workers that a new owner has not heard from count for the cap",
+    "[fleet]")
+{
+    fleet_world world(2, 4);
+    fleet::account_settings account;
+    account.name = fleet::account_name("acct");
+    account.cap = {5'000, 0, 0};
+    world.config =
+        fleet::configuration(2, world.config.queues(), {account}, {});
+    world.workers.behaviour = [](const fleet::task_ref& task)
+    {
+        return standin::task_behaviour{
+            task.step.job == job_id("a") ? 3s : 500ms, false};
+    };
+    world.submit("a", {tasks(4)});
+    world.run(500ms);
+    REQUIRE(world.workers.running() == 4);
+    for (const standin::worker_event& each : world.workers.events())
+    {
+        world.workers.faults_of(each.worker).silent = true;
+    }
+    world.owner_vm()->kill();
+    while (world.owner() == nullptr || !world.owner()->loaded())
+    {
+        world.run(10ms);
+    }
+    world.run(200ms);
+    // A new job, passed on by the VM that has stored it.
+    world.submit("b", {tasks(4)});
+    world.owner()->accept(*fleet::decode_accepted_job(
+        "b", world.store.newest(fleet::topics::jobs, "b")));
+    std::size_t most = 0;
+    for (int n = 0; n < 500; ++n)
+    {
+        world.run(20ms);
+        most = std::max(most, world.workers.running());
+    }
+    CHECK(most == 5);
+    CHECK(world.view("b").state == job_state::completed);
+}
