Failing tests of the incident's class (KNOWN-RED)

A review of the trace and of the mend looked for the same class elsewhere: no news of a run, or the end of one, taken as proof that none is live, and runs that occupy a worker without being counted.

--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -149,13 +149,13 @@
         target_worker->active_faults.losing_answers || late.count() > 0;
     clock_.after(
         late.count() > 0 ? late : options_.latency,
-        [target_worker, work, done, loses_reply]
+        [this, target_worker, work, done, loses_reply]
         {
-            if (target_worker->ended_by_restart)
+            if (target_worker->ended_by_restart && !orders_outlive_restarts)
             {
                 return;
             }
-            result<Answer> answer = work(*target_worker);
+            result<Answer> answer = work(*workers_.at(target_worker->about.id));
             if (!loses_reply)
             {
                 done(std::move(answer));
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -86,6 +86,9 @@
     /// Ends the active runs of a task in the given way.
     void end_runs(const fleet::task_ref& task, fleet::run_end how);
 
+    /// Orders that were sent to an earlier incarnation of a worker are carried
+    /// out by the present one when they arrive late.
+    bool orders_outlive_restarts = false;
     std::function<task_behaviour(const fleet::task_ref&)> behaviour;
     std::function<resources(const fleet::task_ref&)> needs;
     /// Number of tasks in the gang of a task; zero or one if it is in no gang.
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -168,3 +168,152 @@
     CHECK(most == 5);
     CHECK(world.view("b").state == job_state::completed);
 }
+
+// Guards against a task that runs twice: an order without an answer was carried
+// out by the worker's next incarnation, after the task had started again.
+TEST_CASE(
+    "a start order that arrives after its worker restarted starts nothing",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).late = 4s;
+    world.submit("a", {tasks(1)});
+    world.run(600ms);
+    REQUIRE(world.starts_of("a").empty());
+    world.restart_worker("w0");
+    world.run(8s);
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against tasks that wait for ever: the runs of a worker that died
+// before a new owner had extended its lease were never taken as ended.
+TEST_CASE(
+    "runs of a worker that dies before its first lease start again",
+    "[fleet][known-red]")
+{
+    fleet_world world(2, 2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{6s, false};
+    };
+    world.submit("a", {tasks(1)});
+    world.run(500ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    const worker_id worker = world.starts_of("a").front().worker;
+    const std::uint64_t token = world.owner()->token();
+    world.owner_vm()->kill();
+    // A run of a job that the new owner has not read: until it has, the worker
+    // gets no lease.
+    fleet::start_order order;
+    order.task = {{job_id("unread"), 0, 0}, 0};
+    order.run = 1;
+    world.workers.start(
+        {worker, worker.str(), 1},
+        token,
+        worker_instant(4s),
+        order,
+        [](const result<fleet::start_answer>&) {});
+    while (world.owner() == nullptr || !world.owner()->loaded())
+    {
+        world.run(10ms);
+    }
+    world.run(300ms);
+    world.workers.faults_of(worker).silent = true;
+    CHECK(world.run_until("a", job_state::completed, 30s));
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against starts over a worker's capacity: the run of a job whose
+// request was already deleted counted as if it needed nothing.
+TEST_CASE(
+    "nothing starts beside a run whose resources are not known",
+    "[fleet][known-red]")
+{
+    fleet_world world(2, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.run(500ms);
+    REQUIRE(world.owner() != nullptr);
+    const std::uint64_t token = world.owner()->token();
+    world.owner_vm()->kill();
+    world.specs[{job_id("gone"), 0, 0}] = tasks(1, 10);
+    fleet::job_progress cancelled;
+    cancelled.state = job_state::cancelled;
+    cancelled.ended = world.clock.wall();
+    world.store.put(fleet::topics::progress, "gone", encode(cancelled));
+    fleet::start_order order;
+    order.task = {{job_id("gone"), 0, 0}, 0};
+    order.run = 1;
+    world.workers.start(
+        {worker_id("w0"), "w0", 1},
+        token,
+        worker_instant(20s),
+        order,
+        [](const result<fleet::start_answer>&) {});
+    world.submit("b", {tasks(2, 6)});
+    world.run(4s);
+    CHECK(world.starts_of("b").size() == 1);
+    CHECK(world.workers.running() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: a worker that was draining and lost
+// the store still ran its tasks, but a new owner took it for gone.
+TEST_CASE(
+    "a new owner expects runs on a draining worker whose registration expired",
+    "[fleet][known-red]")
+{
+    fleet_world world(2, 2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{8s, false};
+    };
+    world.submit("a", {tasks(8)});
+    world.run(1s);
+    REQUIRE(world.starts_of("a").size() == 1);
+    const std::string worker = world.starts_of("a").front().worker.str();
+    world.register_worker(worker, "draining");
+    world.run(500ms);
+    world.owner_vm()->kill();
+    world.store.put("registry", worker, "");
+    CHECK(world.run_until("a", job_state::completed, 40s));
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: a new owner counted the leases of its
+// predecessor from its own claim, although the predecessor went on extending
+// them while the new owner could not load.
+TEST_CASE(
+    "a new owner that loads late still waits for leases of its predecessor",
+    "[fleet][known-red]")
+{
+    fleet_world world(2, 2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.submit("a", {tasks(8)});
+    world.run(1s);
+    REQUIRE(world.owner_vm() != nullptr);
+    const worker_id worker = world.starts_of("a").front().worker;
+    auto& predecessor = *world.owner_vm();
+    auto& successor = *world.vms[&predecessor == world.vms[0].get() ? 1 : 0];
+    predecessor.store_client.requests_rejected = true;
+    while (successor.owner == nullptr)
+    {
+        world.run(1ms);
+    }
+    successor.store_client.requests_rejected = true;
+    world.run(8s);
+    REQUIRE_FALSE(successor.owner->loaded());
+    world.workers.faults_of(worker).silent = true;
+    predecessor.kill();
+    successor.store_client.requests_rejected = false;
+    world.run(15s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
