A job waits until a run of it is known to have started

Change: an order to start leaves the job's state alone. A job is running once a worker has answered the order with success, has listed a run of the job as running or ended, or an owner has adopted a run of it; it does not wait again after that. A job's start may now be confirmed while older progress of it is being stored; when that is stored, it no longer replaces the state that callers are shown. The format of stored progress is unchanged.

--- a/src/fleet/job_tracker.cpp
+++ b/src/fleet/job_tracker.cpp
@@ -232,7 +232,12 @@
     const worker_id& worker)
 {
     add_live_run(step, step.tasks[index], {run, worker});
-    if (job_entry* job = find(step.id.job); job->state == job_state::queued)
+}
+
+void job_tracker::confirm_start(const job_id& id)
+{
+    job_entry* job = find(id);
+    if (job != nullptr && job->state == job_state::queued)
     {
         job->state = job_state::running;
         job->reported_state = job_state::running;
@@ -261,6 +266,7 @@
         return adoption::task_done;
     }
     begin_run(*step, task.index, run, worker);
+    confirm_start(task.step.job);
     if (entry->run != run)
     {
         return adoption::superseded;
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -94,6 +94,8 @@
 struct job_entry
 {
     accepted_job job;
+    /// Queued until a run of one of its tasks is known to have started; never
+    /// queued again after that.
     job_state state = job_state::queued;
     /// The state that callers are shown. Final states appear here only once
     /// they are stored.
@@ -207,17 +209,23 @@
     /// Allocates a run number.
     [[nodiscard]] run_number next_run(job_entry& job);
 
-    /// Records that a run of the task is being started.
+    /// Records that a run of the task is being started. The job's state stays:
+    /// the order may have no effect.
     void begin_run(
         step_entry& step,
         std::uint32_t index,
         run_number run,
         const worker_id& worker);
 
-    /// Records a run that a worker or an absence record has reported. The
-    /// caller stops a run that is not adopted, and the live runs that an
-    /// adopted one supersedes. A superseded run keeps its task from starting
-    /// until it has ended.
+    /// Records that a run of the job has started on a worker: the job is
+    /// running from now on. Does nothing if it is not queued or not known.
+    void confirm_start(const job_id& id);
+
+    /// Records a run that a worker or an absence record has reported. Its job
+    /// counts as started, unless the task is done or unknown. The caller stops
+    /// a run that is not adopted, and the live runs that an adopted one
+    /// supersedes. A superseded run keeps its task from starting until it has
+    /// ended.
     adoption adopt_run(
         const task_ref& task,
         run_number run,
@@ -255,7 +263,7 @@
     }
     void mark_changed(job_entry& job);
 
-    /// Number of a queue's jobs of which no task has started.
+    /// Number of a queue's jobs of which no task is known to have started.
     [[nodiscard]] std::size_t pending(const queue_name& queue) const;
 
     /// Drops jobs that ended before `before` and whose progress is stored.
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -154,7 +154,7 @@
     /// `log_unavailable`; `no_owner` while the owner is loading or if it ends
     /// before it can answer.
     void look_up(const job_id& id, completion<job_view> done);
-    /// Number of jobs in a queue of which no task has started.
+    /// Number of jobs in a queue of which no task is known to have started.
     [[nodiscard]] std::size_t pending(const queue_name& queue) const;
 
     /// Time since the store last answered a read of the registry, which is
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -121,11 +121,12 @@
     {
         if (job_entry* job = jobs_.find(id))
         {
-            job->reported_state = state;
-            // Checks the stored state: the job may have ended after the batch
-            // was built, and that end is not stored yet.
+            // Checks the stored state: since the batch was built the job may
+            // have started, which is shown at once, or ended, which is not
+            // stored yet.
             if (is_final(state))
             {
+                job->reported_state = state;
                 ended_jobs_.push_back(id);
             }
         }
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -50,6 +50,11 @@
     instant sent_at,
     const result<start_answer>& answer)
 {
+    if (answer && !answer->refusal)
+    {
+        // Also if the run is not known any more: it has started.
+        jobs_.confirm_start(decision.task.step.job);
+    }
     worker_entry* worker = workers_.find(decision.worker);
     if (worker == nullptr)
     {
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -259,6 +259,10 @@
     if (at != worker.runs.end())
     {
         run_entry& run = at->second;
+        if (run.listed_in == 0)
+        {
+            jobs_.confirm_start(running.task.step.job);
+        }
         run.listed_in = worker.status_count;
         run.percent = running.percent;
         if (!running.checkpoint.empty())
@@ -343,6 +347,7 @@
 
 void fleet_owner::apply_end(worker_entry& worker, const ended_run& ended)
 {
+    jobs_.confirm_start(ended.task.step.job);
     end_run(worker, ended.task, ended.run, ended.how, ended.checkpoint);
     if (ended.how == run_end::done)
     {
