Test of waiting jobs: the worker registers again after its restart

A worker that has restarted gets no task before its registration is read, so a restart without one, which the platform's workers do not do, left the job waiting.

--- a/tests/fleet/waiting_jobs_test.cpp
+++ b/tests/fleet/waiting_jobs_test.cpp
@@ -49,7 +49,7 @@
         CHECK(pending(world) == 1);
         CHECK(state(world) == fleet::job_state::queued);
     }
-    world.workers.restart(only_worker);
+    world.restart_worker(only_worker.str());
     world.workers.faults_of(only_worker).silent = true;
     world.run(12s);
     REQUIRE(world.starts_of("a").empty());
