--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -340,10 +340,10 @@
     /// Runs whose start order the worker, or its next incarnation, may still
     /// carry out.
     [[nodiscard]] static std::vector<run_ref>
-    orders_that_may_arrive(const worker_entry& worker);
+    runs_with_unsettled_start(const worker_entry& worker);
     /// Stops a run on the present incarnation of its worker, which then rejects
     /// a start order for it that arrives later.
-    void bar_run(worker_entry& worker, run_entry& run);
+    void stop_unsettled_run(worker_entry& worker, run_entry& run);
     /// Ends the runs of unreachable workers whose lease has expired.
     void expire_leases();
     void
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -104,8 +104,8 @@
           {"worker", decision.worker.str()},
           {"verdict", std::string(to_string(answer.error().effect))},
           {"reason", answer.error().message}}});
-    run.order_may_arrive =
-        run.order_may_arrive || answer.error().effect == verdict::may_have_run;
+    run.start_unsettled =
+        run.start_unsettled || answer.error().effect == verdict::may_have_run;
     if (answer.error().effect == verdict::not_run &&
         run.state == run_entry::phase::starting && !is_retry)
     {
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -164,16 +164,17 @@
                  {{"worker", worker.registration.id.str()},
                   {"runs", std::to_string(worker.runs.size())}}});
         }
-        const std::vector<run_ref> late = orders_that_may_arrive(worker);
+        const std::vector<run_ref> unsettled =
+            runs_with_unsettled_start(worker);
         std::set<run_ref> kept = listed;
-        kept.insert(late.begin(), late.end());
+        kept.insert(unsettled.begin(), unsettled.end());
         end_lost_runs(worker, kept, "the worker restarted");
         worker.registration.incarnation = status.incarnation;
-        for (const run_ref& id : late)
+        for (const run_ref& id : unsettled)
         {
             if (!listed.contains(id))
             {
-                bar_run(worker, worker.runs.at(id));
+                stop_unsettled_run(worker, worker.runs.at(id));
             }
         }
         worker.processed = 0;
@@ -233,12 +234,12 @@
 }
 
 std::vector<run_ref>
-fleet_owner::orders_that_may_arrive(const worker_entry& worker)
+fleet_owner::runs_with_unsettled_start(const worker_entry& worker)
 {
     std::vector<run_ref> found;
     for (const auto& [id, run] : worker.runs)
     {
-        if (run.order_may_arrive || run.state == run_entry::phase::starting ||
+        if (run.start_unsettled || run.state == run_entry::phase::starting ||
             run.state == run_entry::phase::uncertain)
         {
             found.push_back(id);
@@ -247,7 +248,7 @@
     return found;
 }
 
-void fleet_owner::bar_run(worker_entry& worker, run_entry& run)
+void fleet_owner::stop_unsettled_run(worker_entry& worker, run_entry& run)
 {
     run.state = run_entry::phase::uncertain;
     run.stop_answered.reset();
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -36,7 +36,7 @@
     double percent = 0; ///< Progress as reported by the worker.
     instant started{};
     /// A start order brought no answer, so it may still be carried out.
-    bool order_may_arrive = false;
+    bool start_unsettled = false;
     /// Status reports requested before this time may not list the run.
     instant confirmed{};
     /// Number of the last status report of the worker that listed the run.
