--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -154,7 +154,7 @@
     /// `log_unavailable`; `no_owner` while the owner is loading or if it ends
     /// before it can answer.
     void look_up(const job_id& id, completion<job_view> done);
-    /// Number of jobs in a queue of which no task has started.
+    /// Number of jobs in a queue of which no task is known to have started.
     [[nodiscard]] std::size_t pending(const queue_name& queue) const;
 
     /// Time since the store last answered a read of the registry, which is
@@ -340,10 +340,10 @@
     /// Runs whose start order the worker, or its next incarnation, may still
     /// carry out.
     [[nodiscard]] static std::vector<run_ref>
-    orders_that_may_arrive(const worker_entry& worker);
+    runs_with_unsettled_start(const worker_entry& worker);
     /// Stops a run on the present incarnation of its worker, which then rejects
     /// a start order for it that arrives later.
-    void bar_run(worker_entry& worker, run_entry& run);
+    void stop_unsettled_run(worker_entry& worker, run_entry& run);
     /// Ends the runs of unreachable workers whose lease has expired.
     void expire_leases();
     void
