--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -12,10 +12,10 @@
 {
 
 /// Starts a world with the tasks a and b on the worker w0, whose registration
-/// then expires while it stays reachable, and with an idle worker w1. The first
+/// then expires while it stays reachable, and with two idle workers. The first
 /// run of a ends on w0 as `first_end` says, the second takes 20 s. When this
-/// returns, the second run is on w1, and the store still says that both first
-/// runs may be on w0.
+/// returns, the second run is on another worker, and the store still says that
+/// both first runs may be on w0.
 void run_again_elsewhere(fleet_world& world, fleet::run_end first_end)
 {
     int runs_of_a = 0;
