--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -122,7 +122,8 @@
 void worker_pool::deliver(
     const fleet::worker_address& target,
     std::function<result<Answer>(incarnation_state&)> work,
-    fleet::completion<Answer> done)
+    fleet::completion<Answer> done,
+    milliseconds faults::*transit)
 {
     ++calls_;
     const auto at = workers_.find(target.id);
@@ -147,8 +148,11 @@
     const milliseconds late = target_worker->active_faults.late;
     const bool loses_reply =
         target_worker->active_faults.losing_answers || late.count() > 0;
+    const milliseconds way = transit == nullptr
+                                 ? milliseconds::zero()
+                                 : target_worker->active_faults.*transit;
     clock_.after(
-        late.count() > 0 ? late : options_.latency,
+        way + (late.count() > 0 ? late : options_.latency),
         [this, target_worker, work, done, loses_reply]
         {
             if (target_worker->ended_by_restart && !orders_outlive_restarts)
@@ -361,7 +365,8 @@
         [this, token, lease_until, order = std::move(order)](
             incarnation_state& worker) -> result<fleet::start_answer>
         { return begin(worker, token, lease_until, order); },
-        std::move(done));
+        std::move(done),
+        &faults::order_transit);
 }
 
 void worker_pool::stop(
@@ -461,6 +466,15 @@
 {
     const instant until = clock_.now() + wait;
     auto answered = std::make_shared<bool>(false);
+    const auto known = workers_.find(target.id);
+    if (known != workers_.end() &&
+        known->second->active_faults.report_transit.count() > 0)
+    {
+        done = [this,
+                way = known->second->active_faults.report_transit,
+                done = std::move(done)](result<fleet::worker_status> report)
+        { clock_.after(way, [done, report] { done(report); }); };
+    }
     deliver<bool>(
         target,
         [this, token, acknowledged, lease_until, until, done, answered](
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -67,6 +67,8 @@
         bool losing_answers = false; ///< Executes orders; replies are lost.
         /// If not zero, orders get no reply and are executed after this delay.
         milliseconds late{0};
+        milliseconds order_transit{0};  ///< Added to the way of start orders.
+        milliseconds report_transit{0}; ///< Added to the way of status reports.
     };
 
     worker_pool(fleet::scheduler_clock& clock, settings options);
@@ -137,7 +139,8 @@
     void deliver(
         const fleet::worker_address& target,
         std::function<result<Answer>(incarnation_state&)> work,
-        fleet::completion<Answer> done);
+        fleet::completion<Answer> done,
+        milliseconds faults::*transit = nullptr);
     [[nodiscard]] worker_instant
     clock_of(const incarnation_state& worker) const;
     void extend(incarnation_state& worker, worker_instant until);
--- a/tests/edge/config_watch_test.cpp
+++ b/tests/edge/config_watch_test.cpp
@@ -17,7 +17,7 @@
     standin::memory_store store{clock};
     standin::memory_store::client link{store};
     plain_records records;
-    no_events events;
+    counted_events events;
     std::shared_ptr<config_watch> watch =
         config_watch::create({}, link, records, clock, events);
 
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -57,8 +57,9 @@
     return registration;
 }
 
-void no_events::emit(const event& happened)
+void counted_events::emit(const event& happened)
 {
+    ++counts_[happened.number];
     if (!print)
     {
         return;
@@ -311,7 +312,13 @@
 
 fleet_world::vm::vm(
     fleet_world& world, const std::string& vm_name, std::uint64_t seed)
-    : store_client(world.store), name(vm_name), world_(world), seed_(seed)
+    : store_client(world.store),
+      clock(world.clock, gate),
+      store(store_client, gate),
+      orders(world.workers, world.clock, gate),
+      name(vm_name),
+      world_(world),
+      seed_(seed)
 {
 }
 
@@ -333,10 +340,16 @@
     leading.address = name + ":1";
     leading.strength = strength;
     leadership = fleet::leadership::create(
-        leading, store_client, world_.clock, world_.events, *this, seed_++);
+        leading, store, clock, world_.events, *this, seed_++);
     leadership->start();
 }
 
+void fleet_world::vm::pause(milliseconds span)
+{
+    gate->pause();
+    world_.clock.after(span, [resumed = gate] { resumed->resume(); });
+}
+
 void fleet_world::vm::stop()
 {
     leadership->release([this] { owner.reset(); });
@@ -348,10 +361,10 @@
     deciding.vm = instance_id(name);
     owner = fleet::fleet_owner::create(
         deciding,
-        {store_client,
-         world_.workers,
+        {store,
+         orders,
          records_,
-         world_.clock,
+         clock,
          world_.events,
          metrics_,
          [this]() -> const fleet::configuration& { return world_.config; },
@@ -381,7 +394,7 @@
 
 void fleet_world::vm::on_ownership_lost()
 {
-    world_.clock.after(
+    clock.after(
         milliseconds::zero(),
         [this]
         {
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -7,6 +7,7 @@
 #include "standin/memory_store.hpp"
 #include "standin/worker_pool.hpp"
 #include "support/event_recorder.hpp"
+#include "support/process_gate.hpp"
 
 #include <map>
 #include <memory>
@@ -39,13 +40,21 @@
     void gauge(std::string_view, std::string_view, double) override {}
 };
 
-/// Discards events, or writes them to the standard error output if `print` is
+/// Counts events, and writes them to the standard error output if `print` is
 /// set.
-class no_events final : public event_sink
+class counted_events final : public event_sink
 {
 public:
     void emit(const event& happened) override;
+    [[nodiscard]] std::size_t count(event_number number) const
+    {
+        const auto at = counts_.find(number);
+        return at == counts_.end() ? 0 : at->second;
+    }
     bool print = false;
+
+private:
+    std::map<event_number, std::size_t> counts_;
 };
 
 /// Simulates several VMs, one of which owns the fleet, with stand-ins for the
@@ -64,7 +73,7 @@
     standin::memory_store store;
     standin::worker_pool workers;
     standin::policy_stand_in policy;
-    no_events events;
+    counted_events events;
     std::vector<std::unique_ptr<vm>> vms;
     std::map<fleet::step_id, fleet::step_spec> specs;
     /// VMs call an owner whose renewals are overdue directly, and suspect it if
@@ -129,7 +138,15 @@
     /// Stops in an orderly way: gives up ownership if it has it.
     void stop();
 
+    /// Stops the process for a time, as a signal does: it sends nothing and
+    /// handles nothing until then.
+    void pause(milliseconds span);
+
     standin::memory_store::client store_client;
+    std::shared_ptr<process_gate> gate = std::make_shared<process_gate>();
+    gated_clock clock;
+    gated_store store;
+    gated_orders orders;
     std::shared_ptr<fleet::leadership> leadership;
     std::shared_ptr<fleet::fleet_owner> owner;
     std::string name;
