--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -1,5 +1,6 @@
 #include "edge/edge_process.hpp"
 
+#include "fleet/event_text.hpp"
 #include "observe/nonblocking_appender.hpp"
 
 #include <csignal>
@@ -173,7 +174,15 @@
     config_->start();
     leadership_->start();
     lag_ = lag_monitor::create(
-        *clock_, [this](double speed) { leadership_->set_speed(speed); });
+        *clock_,
+        [this](double speed) { leadership_->set_speed(speed); },
+        [this](milliseconds stalled)
+        {
+            events_->emit(
+                {event_number::process_stalled,
+                 {{"stalled_ms", fleet::text_of(stalled)},
+                  {"owns_fleet", leadership_->is_owner() ? "yes" : "no"}}});
+        });
     lag_->start();
     flush_log();
     wait_for_signal();
--- a/src/edge/lag_monitor.cpp
+++ b/src/edge/lag_monitor.cpp
@@ -17,19 +17,25 @@
 /// Timers that are late by this much on average are still on time: a scheduling
 /// round of a large fleet takes about as long.
 constexpr double tolerated_lag_ms = 80;
+/// A single lag of this length is reported as a stall.
+constexpr milliseconds stall_threshold{500};
 
 } // namespace
 
 std::shared_ptr<lag_monitor> lag_monitor::create(
-    fleet::scheduler_clock& clock, std::function<void(double)> report)
+    fleet::scheduler_clock& clock,
+    std::function<void(double)> report,
+    std::function<void(milliseconds)> stalled)
 {
     return std::shared_ptr<lag_monitor>(
-        new lag_monitor(clock, std::move(report)));
+        new lag_monitor(clock, std::move(report), std::move(stalled)));
 }
 
 lag_monitor::lag_monitor(
-    fleet::scheduler_clock& clock, std::function<void(double)> report)
-    : clock_(clock), report_(std::move(report))
+    fleet::scheduler_clock& clock,
+    std::function<void(double)> report,
+    std::function<void(milliseconds)> stalled)
+    : clock_(clock), report_(std::move(report)), stalled_(std::move(stalled))
 {
 }
 
@@ -49,8 +55,12 @@
 
 void lag_monitor::on_timer(instant due)
 {
-    const double lag =
-        std::min(max_lag_ms, static_cast<double>((clock_.now() - due).count()));
+    const milliseconds late = clock_.now() - due;
+    if (late >= stall_threshold)
+    {
+        stalled_(late);
+    }
+    const double lag = std::min(max_lag_ms, static_cast<double>(late.count()));
     mean_lag_ms_ += smoothing_factor * (lag - mean_lag_ms_);
     report_(std::min(1.0, tolerated_lag_ms / std::max(mean_lag_ms_, 1.0)));
     start();
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -8,6 +8,7 @@
 #include "fleet/planner.hpp"
 #include "fleet/poll_schedule.hpp"
 #include "fleet/ports.hpp"
+#include "fleet/presumed_ends.hpp"
 #include "fleet/worker_table.hpp"
 
 #include <array>
@@ -318,6 +319,8 @@
         const worker_entry& worker,
         std::string_view from,
         const run_list_text& runs);
+    /// Logs that a worker lists a run that was recorded as over.
+    void report_reappeared(const worker_entry& worker, const run_ref& run);
     void report_rejected_adoption(
         const worker_entry& worker,
         const task_ref& task,
@@ -336,7 +339,7 @@
     void end_lost_runs(
         worker_entry& worker,
         const std::set<run_ref>& kept,
-        std::string_view reason);
+        presumed_end reason);
     /// Runs whose start order the worker, or its next incarnation, may still
     /// carry out.
     [[nodiscard]] static std::vector<run_ref>
@@ -408,6 +411,7 @@
     /// the offset of the removal.
     std::map<worker_id, log_offset> expired_registrations_;
     absent_worker_table absences_;
+    presumed_end_table presumed_ends_;
     /// Workers that report runs of a job whose record is not read yet.
     std::map<job_id, std::set<worker_id>> unread_jobs_;
 
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -10,12 +10,19 @@
 void fleet_owner::execute(const start_decision& decision)
 {
     ports_.metrics.count("fleet_starts", "", 1);
-    ports_.events.emit(
-        {event_number::run_started,
-         {{"task", text_of(decision.task)},
-          {"run", std::to_string(decision.run)},
-          {"worker", decision.worker.str()},
-          {"resumes", decision.checkpoint.empty() ? "no" : "yes"}}});
+    event started{
+        event_number::run_started,
+        {{"task", text_of(decision.task)},
+         {"run", std::to_string(decision.run)},
+         {"worker", decision.worker.str()},
+         {"resumes", decision.checkpoint.empty() ? "no" : "yes"}}};
+    if (decision.worker_limit > 0)
+    {
+        started.fields.emplace_back(
+            "limit", std::to_string(decision.worker_limit));
+        started.fields.emplace_back("beside", std::to_string(decision.beside));
+    }
+    ports_.events.emit(started);
     send_start(decision, false);
 }
 
@@ -148,6 +155,10 @@
     {
         workers_.remove_run(*worker, decision.task, decision.run);
     }
+    presumed_ends_.add(
+        {decision.task, decision.run},
+        presumed_end::withdrawn,
+        ports_.clock.now());
     jobs_.undo_run(decision.task, decision.run);
     const job_entry* job = jobs_.find(decision.task.step.job);
     if (job != nullptr && job->spec(decision.task.step).gang)
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -168,7 +168,7 @@
             runs_with_unsettled_start(worker);
         std::set<run_ref> kept = listed;
         kept.insert(unsettled.begin(), unsettled.end());
-        end_lost_runs(worker, kept, "the worker restarted");
+        end_lost_runs(worker, kept, presumed_end::worker_restarted);
         worker.registration.incarnation = status.incarnation;
         for (const run_ref& id : unsettled)
         {
@@ -308,6 +308,7 @@
         }
         return false;
     }
+    report_reappeared(worker, {running.task, running.run});
     const job_entry* job = jobs_.find(running.task.step.job);
     run_entry run;
     run.task = running.task;
@@ -343,6 +344,24 @@
     return false;
 }
 
+void fleet_owner::report_reappeared(
+    const worker_entry& worker, const run_ref& run)
+{
+    const auto presumed = presumed_ends_.take(run);
+    if (!presumed)
+    {
+        return;
+    }
+    ports_.metrics.count("fleet_runs_reappeared", name_of(presumed->reason), 1);
+    ports_.events.emit(
+        {event_number::run_reappeared,
+         {{"task", text_of(run.task)},
+          {"run", std::to_string(run.run)},
+          {"worker", worker.registration.id.str()},
+          {"presumed", std::string(name_of(presumed->reason))},
+          {"age_ms", text_of(ports_.clock.now() - presumed->at)}}});
+}
+
 void fleet_owner::report_adopted(
     const worker_entry& worker,
     std::string_view from,
@@ -505,14 +524,13 @@
     }
     for (const run_ref& id : missing)
     {
+        presumed_ends_.add(id, presumed_end::not_listed, ports_.clock.now());
         end_run(worker, id.task, id.run, run_end::stopped, {});
     }
 }
 
 void fleet_owner::end_lost_runs(
-    worker_entry& worker,
-    const std::set<run_ref>& kept,
-    std::string_view reason)
+    worker_entry& worker, const std::set<run_ref>& kept, presumed_end reason)
 {
     std::vector<run_ref> lost;
     for (const auto& [id, run] : worker.runs)
@@ -522,14 +540,18 @@
             lost.push_back(id);
         }
     }
+    const std::string_view text = reason == presumed_end::worker_restarted
+                                      ? "the worker restarted"
+                                      : "the worker's lease has expired";
     for (const auto& [task, run] : lost)
     {
+        presumed_ends_.add({task, run}, reason, ports_.clock.now());
         ports_.events.emit(
             {event_number::run_lost,
              {{"task", text_of(task)},
               {"run", std::to_string(run)},
               {"worker", worker.registration.id.str()},
-              {"reason", std::string(reason)}}});
+              {"reason", std::string(text)}}});
         end_run(worker, task, run, run_end::lapsed, {});
     }
 }
@@ -557,7 +579,7 @@
                                        : worker->lease_expired_at;
         if (!worker->reachable && !worker->runs.empty() && expired_at <= now)
         {
-            end_lost_runs(*worker, {}, "the worker's lease has expired");
+            end_lost_runs(*worker, {}, presumed_end::lease_expired);
         }
     }
 }
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -521,6 +521,12 @@
     decision.run = run;
     decision.worker = worker.registration.id;
     decision.checkpoint = task.checkpoint;
+    decision.worker_limit = step.spec->max_per_worker;
+    if (const auto counted = step.on_worker.find(worker.handle);
+        counted != step.on_worker.end())
+    {
+        decision.beside = counted->second;
+    }
     if (step.requires_permits())
     {
         const step_permits::grant* grant =
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -19,6 +19,10 @@
     worker_id worker;
     std::string ticket; ///< Permit of the policy service; empty without one.
     std::string checkpoint;
+    /// Limit of the step's tasks on one worker, and how many of its runs were
+    /// counted on this one before; zero without a limit.
+    std::uint32_t worker_limit = 0;
+    std::uint32_t beside = 0;
 };
 
 /// A request to the policy service of a queue: which of these workers may run
--- a/src/observe/metric_kind.hpp
+++ b/src/observe/metric_kind.hpp
@@ -98,6 +98,11 @@
      metric_type::counter,
      "reason",
      "Runs of an earlier owner that were not taken over, by reason."},
+    {"fleet_runs_reappeared",
+     metric_type::counter,
+     "presumed",
+     "Runs that a worker lists although they were recorded as over, by the "
+     "reason of that record."},
     {"fleet_ends",
      metric_type::counter,
      "how",
--- a/tests/edge/lag_monitor_test.cpp
+++ b/tests/edge/lag_monitor_test.cpp
@@ -43,8 +43,8 @@
     standin::manual_clock manual;
     late_clock clock(manual);
     double speed = 0;
-    const auto monitor =
-        edge::lag_monitor::create(clock, [&](double now) { speed = now; });
+    const auto monitor = edge::lag_monitor::create(
+        clock, [&](double now) { speed = now; }, [](milliseconds) {});
     monitor->start();
     manual.advance(1s);
     CHECK(speed == 1.0);
@@ -61,3 +61,23 @@
     manual.advance(5s);
     CHECK(speed == 1.0);
 }
+
+TEST_CASE("a stall of the process is reported with its length")
+{
+    standin::manual_clock manual;
+    late_clock clock(manual);
+    std::vector<milliseconds> stalls;
+    const auto monitor = edge::lag_monitor::create(
+        clock,
+        [](double) {},
+        [&](milliseconds length) { stalls.push_back(length); });
+    monitor->start();
+    clock.lag = 400ms;
+    manual.advance(2s);
+    CHECK(stalls.empty());
+    clock.lag = 3s;
+    manual.advance(500ms);
+    clock.lag = 0ms;
+    manual.advance(5s);
+    CHECK(stalls == std::vector<milliseconds>{3s});
+}
