--- a/tests/fleet/planner_test.cpp
+++ b/tests/fleet/planner_test.cpp
@@ -160,3 +160,46 @@
         CHECK(fixture.workers.find(id)->runs.empty());
     }
 }
+
+// Guards against a step over its limit on one worker: only the current run of a
+// task counted, although an earlier one of it was still live elsewhere.
+TEST_CASE("a step's limit on a worker counts every live run of its tasks")
+{
+    const bool earlier_first = GENERATE(true, false);
+    planner_fixture fixture(2);
+    job_entry& job = fixture.submit("a", 2);
+    job.job.request.steps.front().max_per_worker = 1;
+    const step_id step{job_id("a"), 0, 0};
+    const std::vector<worker_id> both{worker_id("w0"), worker_id("w1")};
+    // One task with a run on each worker, as a new owner finds it.
+    for (const int n : {0, 1})
+    {
+        const std::size_t at = (n == 0) == earlier_first ? 0 : 1;
+        run_entry run;
+        run.task = {step, 0};
+        run.run = at + 1;
+        run.needs = {4'000, 1'000, 0};
+        fixture.workers.add_run(*fixture.workers.find(both[at]), run);
+        static_cast<void>(
+            fixture.jobs.adopt_run(run.task, run.run, both[at], {}));
+    }
+    permits answer;
+    answer.valid = 1'500ms;
+    answer.allowed = {{both[0], "ticket"}, {both[1], "ticket"}};
+    fixture.decider.note_answer(
+        fixture.jobs,
+        fixture.workers,
+        step,
+        both,
+        answer,
+        fixture.now + answer.valid);
+    REQUIRE(job.occurrences[0][0].waiting == 1);
+    CHECK(fixture.decide().starts.empty());
+    // The limit allows the start once the earlier run has ended.
+    fixture.workers.remove_run(*fixture.workers.find(both[0]), {step, 0}, 1);
+    static_cast<void>(fixture.jobs.record_end(
+        {step, 0}, 1, run_end::stopped, {}, 2, wall_time{}));
+    const plan after = fixture.decide();
+    REQUIRE(after.starts.size() == 1);
+    CHECK(after.starts.front().worker == both[0]);
+}
