--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -315,3 +315,58 @@
     CHECK(world.starts_of("a").size() == 2);
     CHECK(world.broken_promises().empty());
 }
+
+// Guards against a task that runs twice: a status report that a restarted
+// worker had made before it got a start order arrived after the answer to that
+// order, and the run was taken as ended by the restart.
+TEST_CASE(
+    "a report older than a start does not end it when the worker restarted",
+    "[fleet][known-red]")
+{
+    // When the owner reads the registry and polls depends on the phase.
+    const int phase = GENERATE(range(0, 300, 10));
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.run(1s + milliseconds(phase));
+    world.restart_worker("w0", 16, 0ms);
+    auto& faults = world.workers.faults_of(worker_id("w0"));
+    faults.order_transit = 350ms;
+    faults.report_transit = 350ms;
+    // Sent before the owner reads of the restart, and carried out after the
+    // worker has reported to the first poll that follows.
+    world.submit("a", {tasks(1)});
+    world.run(50ms);
+    world.add_worker("w1");
+    world.run(5s);
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
+
+TEST_CASE("a run that its worker lists after its recorded end is logged")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.submit("a", {tasks(1)});
+    world.run(500ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    const std::uint64_t token = world.owner()->token();
+    world.restart_worker("w0");
+    world.run(2s);
+    REQUIRE(world.events.count(event_number::run_lost) == 1);
+    CHECK(world.events.count(event_number::run_reappeared) == 0);
+    fleet::start_order order;
+    order.task = {{job_id("a"), 0, 0}, 0};
+    order.run = world.starts_of("a").front().run;
+    world.workers.start(
+        {worker_id("w0"), "w0", 2},
+        token,
+        worker_instant(20s),
+        order,
+        [](const result<fleet::start_answer>&) {});
+    world.run(2s);
+    CHECK(world.events.count(event_number::run_reappeared) == 1);
+}
