An owner extends leases only while something confirms that it is the owner

What callers saw: one task run twice at once (TWICE).

Cause: a successor waits one lease and one second after it has loaded, because its predecessor is held to hear of it within that second from a worker that rejects the old token. A process that stands still hears nothing; when it goes on it extends, before any answer arrives, the leases of all its workers by 5 s, also of those that its successor cannot reach. The same holds for an owner cut off from the store and from the workers that its successor has sealed. Silence about a successor was taken as proof that there is none.

Mend: leases are extended and runs started only within 1 s of the sending of a renewal that the store took, or, without the store, while half of the workers that have runs or do not answer have answered polls of the last 1.5 s. Until then polls carry no lease. With the store this is safe by arithmetic: the claim of a successor comes after that renewal, its wait is one lease and 1 s.

Tests: 'an owner that was paused extends no lease before it knows that it is one' and 'an owner that reaches neither the store nor most workers extends no lease' failed before; 'runs outlive an outage of the store that is longer than a lease' holds the other side and passed before too.

--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -310,6 +310,14 @@
     clock_->after(milliseconds::zero(), [this] { destroy_lost_owner(); });
 }
 
+void edge_process::on_ownership_confirmed(instant sent)
+{
+    if (const auto owner = owner_->local())
+    {
+        owner->confirm(sent);
+    }
+}
+
 void edge_process::on_renewal_overdue()
 {
     owner_->check_alive();
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -211,6 +211,10 @@
                 decoded->strength,
                 decoded->strength},
             decoded->nonce);
+        if (is_owner() && claim_sent_)
+        {
+            listener_.on_ownership_confirmed(*claim_sent_);
+        }
         break;
     case ownership_record::kind::renewal:
         if (!owner_ || owner_->token < decoded->token)
@@ -237,6 +241,8 @@
         }
         break;
     }
+    // An earlier claim took effect with this record or never will.
+    claim_sent_.reset();
 }
 
 void leadership::set_owner(
@@ -406,6 +412,10 @@
     {
         return;
     }
+    if (!claim_sent_)
+    {
+        claim_sent_ = clock_.now_with_suspends();
+    }
     events_.emit(
         {event_number::ownership_claimed,
          {{"silent_ms", std::to_string((clock_.now() - last_heard_).count())},
@@ -473,6 +483,7 @@
                 // The append succeeded at the offset read up to, so there are
                 // no unread records before it.
                 next_offset_ = std::max(next_offset_, *stored + 1);
+                listener_.on_ownership_confirmed(sent);
                 const milliseconds elapsed = clock_.now_with_suspends() - sent;
                 renew_after(std::max(
                     milliseconds::zero(),
--- a/src/fleet/leadership.hpp
+++ b/src/fleet/leadership.hpp
@@ -91,6 +91,10 @@
     /// This VM has become the owner, with this fencing token.
     virtual void on_ownership_gained(std::uint64_t token) = 0;
     virtual void on_ownership_lost() = 0;
+    /// The store has taken a claim or renewal of this VM: no other VM had
+    /// claimed ownership after it when the call was sent, at that time of
+    /// `scheduler_clock::now_with_suspends`.
+    virtual void on_ownership_confirmed(instant sent) = 0;
     /// The owner's renewal is overdue. The listener should probe the owner and
     /// report a failure through `leadership::suspect`.
     virtual void on_renewal_overdue() = 0;
@@ -218,6 +222,8 @@
     /// again.
     instant last_heard_{};
     std::uint64_t own_token_ = 0;
+    /// When the first claim at the present end of the topic was sent.
+    std::optional<instant> claim_sent_;
     double speed_ = 1.0; ///< See `set_speed`.
     std::string nonce_;
     bool appending_ = false;
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -85,13 +85,17 @@
     expire_leases();
     check_isolation();
     update_absence_records();
-    const plan decided = planner_.decide(
-        jobs_,
-        workers_,
-        ports_.config(),
-        now,
-        inherited_may_start(),
-        dispatcher_.budget(now));
+    plan decided;
+    if (check_confirmed())
+    {
+        decided = planner_.decide(
+            jobs_,
+            workers_,
+            ports_.config(),
+            now,
+            inherited_may_start(),
+            dispatcher_.budget(now));
+    }
     planning_cost_ = ports_.clock.now() - now;
     for (const permit_request& question : decided.permit_requests)
     {
@@ -128,6 +132,94 @@
     }
 }
 
+void fleet_owner::confirm(instant sent)
+{
+    confirmed_by_store_ = sent;
+    if (!was_confirmed_)
+    {
+        schedule_round();
+    }
+}
+
+bool fleet_owner::is_confirmed()
+{
+    const instant now = ports_.clock.now_with_suspends();
+    if (confirmed_by_store_ &&
+        now - *confirmed_by_store_ <= settings_.store_confirmation)
+    {
+        return true;
+    }
+    if (workers_counted_ != now)
+    {
+        workers_counted_ = now;
+        confirmed_by_workers_ = is_confirmed_by_workers(now);
+    }
+    return confirmed_by_workers_;
+}
+
+bool fleet_owner::is_confirmed_by_workers(instant now) const
+{
+    // Idle workers are polled only while no worker has runs. Those that do not
+    // answer count also when their leases have expired: a successor may reach
+    // them.
+    const bool count_idle = workers_.busy() == 0;
+    std::size_t counted = 0;
+    std::size_t answered = 0;
+    for (const worker_entry* worker : workers_.all())
+    {
+        const bool counts =
+            !worker->runs.empty() ||
+            (worker->listed && (count_idle || !worker->reachable));
+        if (!counts)
+        {
+            continue;
+        }
+        ++counted;
+        answered +=
+            worker->answered_hold_sent && now - *worker->answered_hold_sent <=
+                                              settings_.worker_confirmation
+                ? 1
+                : 0;
+    }
+    return answered > 0 && answered * 2 >= counted;
+}
+
+bool fleet_owner::is_renewal_overdue() const
+{
+    return !confirmed_by_store_ ||
+           ports_.clock.now_with_suspends() - *confirmed_by_store_ >
+               settings_.renewal_overdue;
+}
+
+bool fleet_owner::check_confirmed()
+{
+    const bool confirmed = is_confirmed();
+    if (confirmed == was_confirmed_)
+    {
+        return confirmed;
+    }
+    was_confirmed_ = confirmed;
+    const instant now = ports_.clock.now_with_suspends();
+    const milliseconds age =
+        confirmed_by_store_ ? now - *confirmed_by_store_ : milliseconds::zero();
+    if (confirmed)
+    {
+        const bool by_store =
+            confirmed_by_store_ && age <= settings_.store_confirmation;
+        ports_.events.emit(
+            {event_number::ownership_confirmed,
+             {{"fence", std::to_string(token_)},
+              {"by", by_store ? "store" : "workers"}}});
+    }
+    else
+    {
+        ports_.events.emit(
+            {event_number::ownership_unconfirmed,
+             {{"fence", std::to_string(token_)}, {"age_ms", text_of(age)}}});
+    }
+    return confirmed;
+}
+
 void fleet_owner::check_isolation()
 {
     if (last_work_request_ != instant::max() &&
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -15,6 +15,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -76,6 +77,20 @@
     milliseconds jobs_read_interval{150};
     /// Long-poll timeout of a status poll (`worker_orders::hold`).
     milliseconds status_poll_wait{1'000};
+    /// As above, while a renewal of the ownership is overdue: shorter, as the
+    /// answers then have to show that this VM still owns the fleet.
+    milliseconds status_poll_wait_unconfirmed{500};
+    /// How long a renewal that the store has taken confirms the ownership. A
+    /// successor waits for one lease and `status_poll_wait` after it has
+    /// loaded, so leases that are extended within that time end before it goes
+    /// on.
+    milliseconds store_confirmation{1'000};
+    /// A renewal that is not taken after this time is overdue. Renewals are
+    /// sent every 0.5 s.
+    milliseconds renewal_overdue{600};
+    /// How long an answer to a status poll counts as evidence that the worker
+    /// has not been sealed by a successor.
+    milliseconds worker_confirmation{1'500};
     /// Delay before the next call to a worker that did not answer, or that has
     /// runs or ends whose state is not settled yet.
     milliseconds worker_retry_delay{150};
@@ -158,6 +173,10 @@
     /// Number of jobs in a queue of which no task is known to have started.
     [[nodiscard]] std::size_t pending(const queue_name& queue) const;
 
+    /// Records that the store has taken a renewal of this ownership that was
+    /// sent at that time of `scheduler_clock::now_with_suspends`.
+    void confirm(instant sent);
+
     /// Time since the store last answered a read of the registry, which is
     /// read every 0.3 s. Zero until the stored state is loaded.
     [[nodiscard]] milliseconds store_silence() const;
@@ -256,6 +275,18 @@
     /// twice.
     [[nodiscard]] bool inherited_may_start();
 
+    /// True if there is recent evidence that no other VM has taken over: a
+    /// renewal that the store has taken, or answers of at least half of the
+    /// workers with runs. Without it, a successor may be starting tasks whose
+    /// runs here have leases from this owner, so no lease is extended and
+    /// nothing is started.
+    [[nodiscard]] bool is_confirmed();
+    [[nodiscard]] bool is_confirmed_by_workers(instant now) const;
+    /// True if the store has taken no renewal for longer than is usual.
+    [[nodiscard]] bool is_renewal_overdue() const;
+    /// Logs changes of `is_confirmed`, and returns it.
+    bool check_confirmed();
+
     // Scheduling rounds.
     void schedule_round();
     void run_round();
@@ -405,6 +436,13 @@
     /// When every lease granted by an earlier owner has expired.
     instant inherited_leases_end_{};
     bool inherited_cleared_ = false; ///< Latches `inherited_may_start`.
+    /// When the last renewal that the store has taken was sent. This and the
+    /// next three are times of `scheduler_clock::now_with_suspends`.
+    std::optional<instant> confirmed_by_store_;
+    /// When the workers' answers were last counted, and the result.
+    instant workers_counted_{};
+    bool confirmed_by_workers_ = false;
+    bool was_confirmed_ = true; ///< As last logged.
     /// Workers that may run tasks of an earlier owner and are not sealed yet.
     std::set<worker_id> unsealed_workers_;
     /// Workers whose registration was removed before this owner loaded it, and
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -31,9 +31,12 @@
 
 void fleet_owner::poll_if_due(worker_entry& worker)
 {
+    // Without a renewal, and if nothing runs, idle workers have to confirm the
+    // ownership.
     const bool needed = !worker.sealed || !worker.reachable ||
                         !worker.runs.empty() ||
-                        worker.processed > worker.acknowledgement_sent;
+                        worker.processed > worker.acknowledgement_sent ||
+                        (workers_.busy() == 0 && is_renewal_overdue());
     // The end of the call in flight schedules the next poll.
     if (!needed || worker.hold_in_flight ||
         (!worker.listed && worker.runs.empty()))
@@ -56,12 +59,13 @@
     // Polls to an unreachable worker carry no lease: one that arrives without
     // being answered would extend it and delay the time at which the runs there
     // have certainly ended.
-    if (worker.sealed && worker.reachable && !worker.runs.empty())
+    const bool confirmed = is_confirmed();
+    if (confirmed && worker.sealed && worker.reachable && !worker.runs.empty())
     {
         lease = workers_.extend_lease(worker, now);
     }
     const bool unsettled =
-        !worker.reachable || !worker.sealed ||
+        !confirmed || !worker.reachable || !worker.sealed ||
         worker.processed > worker.acknowledged ||
         std::any_of(
             worker.runs.begin(),
@@ -71,8 +75,11 @@
                 return each.second.state == run_entry::phase::uncertain ||
                        each.second.state == run_entry::phase::stopping;
             });
-    const milliseconds wait =
-        unsettled ? milliseconds::zero() : settings_.status_poll_wait;
+    const instant sent = ports_.clock.now_with_suspends();
+    const milliseconds wait = unsettled ? milliseconds::zero()
+                              : is_renewal_overdue()
+                                  ? settings_.status_poll_wait_unconfirmed
+                                  : settings_.status_poll_wait;
     worker.next_hold =
         now + (unsettled ? settings_.worker_retry_delay : milliseconds::zero());
     ports_.metrics.count("fleet_holds", "", 1);
@@ -82,11 +89,20 @@
         worker.acknowledged,
         lease,
         wait,
-        guarded([id = worker.registration.id,
-                 now,
-                 acknowledged = worker.acknowledged](
-                    fleet_owner& self, const result<worker_status>& status)
-                { self.on_worker_status(id, now, acknowledged, status); }));
+        guarded(
+            [id = worker.registration.id,
+             now,
+             sent,
+             acknowledged = worker.acknowledged](
+                fleet_owner& self, const result<worker_status>& status)
+            {
+                if (worker_entry* polled = self.workers_.find(id);
+                    polled != nullptr && status)
+                {
+                    polled->answered_hold_sent = sent;
+                }
+                self.on_worker_status(id, now, acknowledged, status);
+            }));
 }
 
 void fleet_owner::on_worker_status(
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -256,6 +256,7 @@
     {
         return;
     }
+    busy_ += worker.runs.size() == 1 ? 1 : 0;
     worker.runs_of_unknown_needs += needs_known ? 0 : 1;
     worker.used += needs;
     update_free(worker);
@@ -275,6 +276,7 @@
     update_free(worker);
     account_use_[at->second.account] -= at->second.needs;
     worker.runs.erase(at);
+    busy_ -= worker.runs.empty() ? 1 : 0;
     return true;
 }
 
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -87,7 +87,10 @@
     std::uint32_t failures_in_row = 0; ///< Consecutive failed runs.
     instant quarantined_until{};
 
-    bool hold_in_flight = false;    ///< A call of `worker_orders::hold`.
+    bool hold_in_flight = false; ///< A call of `worker_orders::hold`.
+    /// When the last such call that was answered was sent, by
+    /// `scheduler_clock::now_with_suspends`.
+    std::optional<instant> answered_hold_sent;
     instant next_hold{};            ///< Earliest time of the next such call.
     std::uint64_t status_count = 0; ///< Number of status reports applied.
     bool ends_pending = false; ///< Is in `worker_table::take_pending_ends`.
@@ -211,6 +214,9 @@
     /// run.
     bool remove_run(worker_entry& worker, const task_ref& task, run_number run);
 
+    /// Number of workers that have runs.
+    [[nodiscard]] std::size_t busy() const noexcept { return busy_; }
+
     /// Resources that the account's runs occupy on all workers.
     [[nodiscard]] const resources& used_by(const account_name& account) const;
 
@@ -241,6 +247,7 @@
     std::map<service_name, std::unique_ptr<impl::fit_index>> free_;
     absl::flat_hash_map<rack_name, std::vector<worker_entry*>> racks_;
     absl::flat_hash_map<account_name, resources> account_use_;
+    std::size_t busy_ = 0;
 };
 
 } // namespace acaciastile::fleet
--- a/tests/fleet/replaced_owner_test.cpp
+++ b/tests/fleet/replaced_owner_test.cpp
@@ -13,7 +13,7 @@
 // successor could not reach, beyond the end that the successor waited for.
 TEST_CASE(
     "an owner that was paused extends no lease before it knows that it is one",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     fleet_world world(2, 2);
     world.workers.behaviour = [](const fleet::task_ref& task)
@@ -52,7 +52,7 @@
 // leases of the others, beyond the end that the successor waited for.
 TEST_CASE(
     "an owner that reaches neither the store nor most workers extends no lease",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     fleet_world world(2, 4);
     world.workers.behaviour = [](const fleet::task_ref&) {
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -374,6 +374,14 @@
     owner->start();
 }
 
+void fleet_world::vm::on_ownership_confirmed(instant sent)
+{
+    if (owner)
+    {
+        owner->confirm(sent);
+    }
+}
+
 void fleet_world::vm::on_renewal_overdue()
 {
     const auto& quiet = leadership->owner();
