--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -134,7 +134,8 @@
 
 void fleet_owner::confirm(instant sent)
 {
-    confirmed_by_store_ = sent;
+    confirmed_by_store_ =
+        confirmed_by_store_ ? std::max(*confirmed_by_store_, sent) : sent;
     if (!was_confirmed_)
     {
         schedule_round();
