Leases from an old clock reading assume the slowest clock

A start on a worker that was idle for a minute extended its lease by up to 1.2 s more than a successor expects, if the worker's clock is 2% slow: the age of the last reading was added in full. Found by review, by arithmetic; no test shows it as a second run.

--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -224,7 +224,11 @@
 
 worker_instant worker_table::extend_lease(worker_entry& worker, instant now)
 {
-    const milliseconds since = now - worker.clock_received_at;
+    // By the slowest clock: a reading may be old, and no lease may end later
+    // than a successor expects.
+    const milliseconds since(static_cast<milliseconds::rep>(
+        static_cast<double>((now - worker.clock_received_at).count()) *
+        settings_.slowest_clock));
     const worker_instant until = worker.clock + since + settings_.lease;
     worker.lease_until = std::max(worker.lease_until, until);
     const auto left = worker.lease_until - worker.clock;
