--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -304,6 +304,12 @@
         const start_decision& decision,
         worker_entry& worker,
         start_refusal reason);
+    /// Logs a refusal. `unanswered_copy`: an earlier copy of the order was sent
+    /// without a response.
+    void report_refusal(
+        const start_decision& decision,
+        start_refusal reason,
+        bool unanswered_copy);
     /// Removes a run that was not started, and stops the other runs of its gang
     /// for the given reason.
     void undo_start(const start_decision& decision, std::string_view reason);
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -82,6 +82,10 @@
         }
         if (answer->refusal)
         {
+            report_refusal(
+                decision,
+                *answer->refusal,
+                is_retry || answer->unanswered_copy);
             if (*answer->refusal != start_refusal::fenced &&
                 (is_retry || *answer->refusal == start_refusal::superseded))
             {
@@ -167,8 +171,8 @@
     }
 }
 
-void fleet_owner::on_start_refused(
-    const start_decision& decision, worker_entry& worker, start_refusal reason)
+void fleet_owner::report_refusal(
+    const start_decision& decision, start_refusal reason, bool unanswered_copy)
 {
     constexpr std::array<const char*, 8> names{
         "fenced",
@@ -179,15 +183,21 @@
         "unhealthy",
         "other_incarnation",
         "malformed"};
-    const instant now = ports_.clock.now();
     ports_.events.emit(
         {event_number::start_refused,
          {{"task", text_of(decision.task)},
           {"run", std::to_string(decision.run)},
           {"worker", decision.worker.str()},
-          {"reason", names[static_cast<std::size_t>(reason)]}}});
+          {"reason", names[static_cast<std::size_t>(reason)]},
+          {"unanswered_copy", unanswered_copy ? "yes" : "no"}}});
     ports_.metrics.count(
         "fleet_starts_refused", names[static_cast<std::size_t>(reason)], 1);
+}
+
+void fleet_owner::on_start_refused(
+    const start_decision& decision, worker_entry& worker, start_refusal reason)
+{
+    const instant now = ports_.clock.now();
     undo_start(decision, "the start of another run of the gang was refused");
     worker.next_hold = now;
     schedule_poll(worker);
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -153,7 +153,7 @@
     std::vector<ended_run> ended;
 };
 
-/// Why a worker rejected a start order; the order had no effect.
+/// Why a worker rejected a start order; the rejected copy had no effect.
 enum class start_refusal
 {
     fenced,     ///< The worker knows a later owner.
@@ -171,6 +171,9 @@
 {
     std::optional<start_refusal> refusal; ///< Empty if the run was started.
     std::optional<worker_instant> clock;  ///< The worker's clock.
+    /// An earlier copy of the order was sent without a response. The worker may
+    /// have carried it out, or may still do so, even if `refusal` is set.
+    bool unanswered_copy = false;
 };
 
 /// Orders of the fleet's owner to the workers. All calls carry the owner's
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -54,6 +54,7 @@
     timer_service::timer_id timer = 0;
     bool reused = false;
     bool sent = false;
+    bool unanswered_copy = false;
     bool finished = false;
 };
 
@@ -155,6 +156,7 @@
             call_state->conn->close();
             if (call_state->reused && call_state->repeatable)
             {
+                call_state->unanswered_copy = true;
                 start(call_state, true);
                 return;
             }
@@ -236,6 +238,7 @@
     call_state->finished = true;
     timers_.cancel(call_state->timer);
     call_state->conn.reset();
+    outcome.unanswered_copy = call_state->unanswered_copy;
     completion done = std::move(call_state->done);
     done(std::move(outcome));
 }
@@ -261,7 +264,7 @@
     // Keep `call_state->conn`: pending socket handlers still use it.
     call_state->finished = true;
     completion done = std::move(call_state->done);
-    done({effect, {}, "timeout", true});
+    done({effect, {}, "timeout", true, call_state->unanswered_copy});
 }
 
 } // namespace acaciastile::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -54,7 +54,8 @@
     /// Sends a request. `done` runs exactly once, unless the client is
     /// destroyed first. If a pooled connection fails, for example because the
     /// peer closed it while it was idle, and `repeatable` says that the request
-    /// may be executed twice, it is sent again on a new connection.
+    /// may be executed twice, it is sent again on a new connection. The outcome
+    /// says so: `http_outcome::unanswered_copy`.
     void call(
         const endpoint& target,
         http_request request,
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -48,6 +48,10 @@
     http_response response;
     std::string failure; ///< Reason if there is no response.
     bool timed_out = false;
+    /// The request was also sent before, on a pooled connection that broke, and
+    /// that copy got no response. It may have run or may run later, whatever
+    /// `effect` and `response` say of the copy that was sent last.
+    bool unanswered_copy = false;
 
     [[nodiscard]] bool answered() const noexcept
     {
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -360,6 +360,32 @@
     fleet::start_order order,
     fleet::completion<fleet::start_answer> done)
 {
+    const auto known = workers_.find(target.id);
+    if (known != workers_.end() &&
+        known->second->active_faults.earlier_copy.count() > 0)
+    {
+        clock_.after(
+            known->second->active_faults.earlier_copy,
+            [this, sent_to = known->second, token, lease_until, order]
+            {
+                if (!sent_to->ended_by_restart || orders_outlive_restarts)
+                {
+                    begin(
+                        *workers_.at(sent_to->about.id),
+                        token,
+                        lease_until,
+                        order);
+                }
+            });
+        done = [done = std::move(done)](result<fleet::start_answer> answer)
+        {
+            if (answer)
+            {
+                answer->unanswered_copy = true;
+            }
+            done(std::move(answer));
+        };
+    }
     deliver<fleet::start_answer>(
         target,
         [this, token, lease_until, order = std::move(order)](
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -67,6 +67,10 @@
         bool losing_answers = false; ///< Executes orders; replies are lost.
         /// If not zero, orders get no reply and are executed after this delay.
         milliseconds late{0};
+        /// If not zero, a start order is sent in two copies, as by a client
+        /// whose connection breaks: the first gets no reply and is executed
+        /// after this delay, the second gets the reply.
+        milliseconds earlier_copy{0};
         milliseconds order_transit{0};  ///< Added to the way of start orders.
         milliseconds report_transit{0}; ///< Added to the way of status reports.
     };
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -191,6 +191,34 @@
     CHECK(world.broken_promises().empty());
 }
 
+// Guards against a task that runs twice: the refusal of a start order's second
+// copy was taken for that of the order, although the first copy, which had got
+// no answer, was carried out later.
+TEST_CASE(
+    "the refusal of an order's second copy does not withdraw the start",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.run(500ms);
+    auto& faults = world.workers.faults_of(worker_id("w0"));
+    faults.earlier_copy = 1s;
+    faults.unhealthy = true;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::start_refused) == 0)
+    {
+        world.run(1ms);
+    }
+    faults.earlier_copy = 0ms;
+    faults.unhealthy = false;
+    world.add_worker("w1");
+    world.run(5s);
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against tasks that wait for ever: the runs of a worker that died
 // before a new owner had extended its lease were never taken as ended.
 TEST_CASE(
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -113,6 +113,71 @@
     CHECK(at.call("y").answered());
 }
 
+// Guards against a refusal that is taken for that of every copy: the client
+// sent a request again after a pooled connection broke and did not say so.
+TEST_CASE("an outcome tells of an earlier copy without a response", "[net]")
+{
+    fixture at;
+    at.listen();
+    const http_outcome first = at.call("warm");
+    REQUIRE(first.answered());
+    CHECK_FALSE(first.unanswered_copy);
+    std::size_t copies = 0;
+    http_responder never;
+    at.handler = [&](const http_request&, http_responder respond)
+    {
+        ++copies;
+        if (copies == 1)
+        {
+            never = std::move(respond);
+            boost::asio::post(
+                at.loop,
+                [&]
+                {
+                    at.server.reset();
+                    at.listen();
+                });
+            return;
+        }
+        http_response refusal;
+        refusal.result(http::status::conflict);
+        respond(refusal);
+    };
+    const http_outcome outcome = at.call("order");
+    CHECK(copies == 2);
+    CHECK(outcome.status() == 409);
+    CHECK(outcome.unanswered_copy);
+    CHECK_FALSE(at.call("next").unanswered_copy);
+}
+
+// As above, for a copy that was sent last and got no response either.
+TEST_CASE("a timeout tells of an earlier copy without a response", "[net]")
+{
+    fixture at;
+    at.listen();
+    REQUIRE(at.call("warm").answered());
+    std::vector<http_responder> held;
+    at.handler = [&](const http_request&, http_responder respond)
+    {
+        held.push_back(std::move(respond));
+        if (held.size() == 1)
+        {
+            boost::asio::post(
+                at.loop,
+                [&]
+                {
+                    at.server.reset();
+                    at.listen();
+                });
+        }
+    };
+    const http_outcome outcome = at.call("order", 100ms);
+    CHECK(held.size() == 2);
+    CHECK(outcome.timed_out);
+    CHECK(outcome.effect == verdict::may_have_run);
+    CHECK(outcome.unanswered_copy);
+}
+
 TEST_CASE("a request body over the limit is rejected", "[net]")
 {
     fixture at;
