--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -402,6 +402,19 @@
     fleet::run_number run,
     fleet::completion<worker_instant> done)
 {
+    const auto known = workers_.find(target.id);
+    if (known != workers_.end() && known->second->active_faults.losing_stops)
+    {
+        clock_.after(
+            options_.answer_timeout,
+            [done = std::move(done)] {
+                done(refuse(
+                    refusal_code::unreachable,
+                    verdict::may_have_run,
+                    "timeout"));
+            });
+        return;
+    }
     deliver<worker_instant>(
         target,
         [this, token, task, run](
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -64,6 +64,7 @@
         bool refusing = false;       ///< Refuses connections.
         bool failing = false;        ///< Every run fails.
         bool unhealthy = false;      ///< Rejects starts as unhealthy.
+        bool losing_stops = false;   ///< Stop orders do not arrive.
         bool losing_answers = false; ///< Executes orders; replies are lost.
         /// If not zero, orders get no reply and are executed after this delay.
         milliseconds late{0};
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -191,6 +191,88 @@
     CHECK(world.broken_promises().empty());
 }
 
+// Guards against a task that runs again after it is done: its first order got
+// no answer, its second was carried out and ended, and the worker's next
+// incarnation carried out the first.
+TEST_CASE(
+    "a late order of a run that has ended starts nothing after a restart",
+    "[fleet][known-red]")
+{
+    const bool loses_stops = GENERATE(false, true);
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).late = 5s;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::run_started) == 0)
+    {
+        world.run(1ms);
+    }
+    world.workers.faults_of(worker_id("w0")).late = 0ms;
+    REQUIRE(world.run_until("a", job_state::completed, 3s));
+    REQUIRE(world.events.count(event_number::start_unanswered) == 1);
+    world.restart_worker("w0");
+    // A stop order that gets no answer is sent again.
+    world.workers.faults_of(worker_id("w0")).losing_stops = loses_stops;
+    world.run(1s);
+    world.workers.faults_of(worker_id("w0")).losing_stops = false;
+    world.run(6s);
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: a run whose orders got no answer was
+// stopped, and the worker's next incarnation carried out one of the orders.
+TEST_CASE(
+    "a late order of a run that was stopped starts nothing after a restart",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).late = 5s;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::start_unanswered) < 2)
+    {
+        world.run(1ms);
+    }
+    world.workers.faults_of(worker_id("w0")).late = 0ms;
+    world.run(1'500ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.restart_worker("w0");
+    world.run(8s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: an order without an answer was barred
+// on the next incarnation of its worker, but not on the one after it.
+TEST_CASE(
+    "a late order starts nothing after its worker restarted twice",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).late = 5s;
+    world.submit("a", {tasks(1)});
+    world.run(600ms);
+    REQUIRE(world.starts_of("a").empty());
+    world.restart_worker("w0");
+    world.run(2s);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.restart_worker("w0");
+    world.run(8s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against a task that runs twice: the refusal of a start order's second
 // copy was taken for that of the order, although the first copy, which had got
 // no answer, was carried out later.
