--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -382,8 +382,8 @@
     /// incarnation of it may still carry out.
     [[nodiscard]] std::set<run_ref>
     runs_with_unsettled_start(const worker_entry& worker) const;
-    /// Stops a run on the present incarnation of its worker, which then rejects
-    /// a start order for it that arrives later. A stop order that arrives late
+    /// Stops a run on the new incarnation of its worker, which then rejects a
+    /// start order for it that arrives later. A stop order that arrives late
     /// itself does no harm: it affects no run of a higher number, and a run
     /// that was stopped is not ordered again.
     void bar_run(worker_entry& worker, const run_ref& run);
@@ -396,12 +396,15 @@
         const worker_entry& worker,
         const run_ref& run,
         std::string_view reason);
-    /// Sends a stop order until it is answered. If the run is not recorded, no
-    /// longer than a start order for it may still be carried out.
+    /// Sends a stop order to the worker's present incarnation until it is
+    /// answered. If the run is not recorded, no longer than a start order for
+    /// it may still be carried out.
     void
     send_stop(const worker_id& worker, const task_ref& task, run_number run);
+    /// `incarnation`: the one that the stop order was sent to.
     void on_stop_answer(
         const worker_id& worker,
+        std::uint64_t incarnation,
         const run_ref& run,
         const result<worker_instant>& answer);
     /// Stops the live runs of a task on all workers, except one run.
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace acaciastile::fleet
 {
@@ -193,13 +194,25 @@
         }
         end_lost_runs(worker, kept, presumed_end::worker_restarted);
         worker.registration.incarnation = status.incarnation;
-        for (const run_ref& id : unsettled)
+        std::set<run_ref> to_stop;
+        std::set_difference(
+            unsettled.begin(),
+            unsettled.end(),
+            listed.begin(),
+            listed.end(),
+            std::inserter(to_stop, to_stop.end()));
+        for (const auto& [id, run] : worker.runs)
         {
-            if (!listed.contains(id))
+            // The stop order was for the earlier incarnation.
+            if (run.state == run_entry::phase::stopping)
             {
-                bar_run(worker, id);
+                to_stop.insert(id);
             }
         }
+        for (const run_ref& id : to_stop)
+        {
+            bar_run(worker, id);
+        }
         worker.processed = 0;
         worker.acknowledged = 0;
         worker.acknowledgement_sent = 0;
@@ -276,7 +289,7 @@
 void fleet_owner::bar_run(worker_entry& worker, const run_ref& run)
 {
     constexpr std::string_view reason =
-        "the worker restarted; its start may still arrive";
+        "the worker restarted; its start may still arrive or have arrived";
     if (const auto at = worker.runs.find(run); at != worker.runs.end())
     {
         at->second.state = run_entry::phase::uncertain;
@@ -654,14 +667,15 @@
         task,
         number,
         guarded(
-            [id, task, number](
+            [id, task, number, incarnation = worker->registration.incarnation](
                 fleet_owner& self, const result<worker_instant>& answer) {
-                self.on_stop_answer(id, {task, number}, answer);
+                self.on_stop_answer(id, incarnation, {task, number}, answer);
             }));
 }
 
 void fleet_owner::on_stop_answer(
     const worker_id& id,
+    std::uint64_t incarnation,
     const run_ref& run,
     const result<worker_instant>& answer)
 {
@@ -676,6 +690,10 @@
             "worker " + id.str() + " rejected a stop with a stale token");
         return;
     }
+    if (incarnation != worker->registration.incarnation)
+    {
+        return; // The present incarnation was sent its own stop orders.
+    }
     const instant now = ports_.clock.now();
     const auto at = worker->runs.find(run);
     if (answer)
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -433,8 +433,8 @@
             }
             clock_.after(
                 options_.stop_time,
-                [this, id = worker.about.id, task, run]
-                { finish(*workers_.at(id), task, run, run_end::stopped); });
+                [this, told = workers_.at(worker.about.id), task, run]
+                { finish(*told, task, run, run_end::stopped); });
             return clock_of(worker);
         },
         std::move(done));
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -278,6 +278,39 @@
     CHECK(world.broken_promises().empty());
 }
 
+// Guards against a run that goes on after its job was cancelled: a worker took
+// a stop order and restarted, its next incarnation carried out a late copy of
+// the start order, and the owner held the stop to be answered.
+TEST_CASE(
+    "a run that a restarted worker lists is stopped there as well", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).earlier_copy = 510ms;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::run_started) == 0)
+    {
+        world.run(1ms);
+    }
+    world.run(400ms);
+    REQUIRE(world.workers.running() == 1);
+    world.owner()->cancel(job_id("a"), [](const result<bool>&) {});
+    world.run(100ms);
+    REQUIRE(world.events.count(event_number::run_stopped) == 1);
+    world.restart_worker("w0");
+    world.run(20ms);
+    REQUIRE(world.starts_of("a").size() == 2);
+    REQUIRE(world.workers.running() == 1);
+    REQUIRE(world.events.count(event_number::worker_restarted) == 0);
+    world.run(3s);
+    REQUIRE(world.events.count(event_number::worker_restarted) == 1);
+    CHECK(world.workers.running() == 0);
+}
+
 // Guards against a task that runs twice: the refusal of a start order's second
 // copy was taken for that of the order, although the first copy, which had got
 // no answer, was carried out later.
