Failing test: a late order extends the lease of a later incarnation (KNOWN-RED)

The lease in an order is a time on the clock of the incarnation that it was sent to. A later incarnation counts its clock anew, so the time may lie far ahead there, and it takes over the lease also from an order that it refuses as old, up to its longest lease. The owner counts with the leases that it sent to the new incarnation. On the stand-ins, which now extend the lease by such an order too: an order arrives 5 s late on a restarted worker that the owner then cannot reach; the task starts elsewhere while its run on that worker still holds a lease (two runs at once).

Not mended: the owner would have to count with the longest lease on a restarted worker for as long as calls to its earlier incarnations may arrive, and so would its successor.

--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -320,6 +320,7 @@
         answer.refusal = start_refusal::too_late;
         return answer;
     }
+    extend(worker, until); // Also by an order that is refused below.
     const auto last_superseded_run =
         worker.last_superseded_run.find(order.task);
     if (last_superseded_run != worker.last_superseded_run.end() &&
@@ -328,7 +329,6 @@
         answer.refusal = start_refusal::superseded;
         return answer;
     }
-    extend(worker, until);
     if (worker.runs.contains({order.task, order.run}))
     {
         return answer;
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -278,6 +278,33 @@
     CHECK(world.broken_promises().empty());
 }
 
+// Guards against a task that runs twice: a late order to an earlier incarnation
+// was refused by the present one but extended its lease, by a time on the clock
+// of the earlier one, beyond the end that the owner waited for.
+TEST_CASE(
+    "a late order that is refused does not outdate the end of a lease",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{30s, false};
+    };
+    world.run(20s);
+    world.workers.faults_of(worker_id("w0")).late = 5s;
+    world.submit("a", {tasks(1)});
+    world.run(600ms);
+    REQUIRE(world.starts_of("a").empty());
+    world.restart_worker("w0");
+    world.run(5s);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.add_worker("w1");
+    world.owner_vm()->orders.cut.insert(worker_id("w0"));
+    world.run(12s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against a run that goes on after its job was cancelled: a worker took
 // a stop order and restarted, its next incarnation carried out a late copy of
 // the start order, and the owner held the stop to be answered.
