--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -47,6 +47,7 @@
         on_start_not_sent(decision, is_retry);
         return;
     }
+    unsettled_orders_.add(decision.worker, {decision.task, decision.run}, now);
     ports_.orders.start(
         worker->address(),
         token_,
@@ -94,6 +95,12 @@
         // Also if the run is not known any more: it has started.
         jobs_.confirm_start(decision.task.step.job);
     }
+    if (answer ? !answer->unanswered_copy
+               : answer.error().effect == verdict::not_run)
+    {
+        unsettled_orders_.settle(
+            decision.worker, {decision.task, decision.run}, sent_at);
+    }
     worker_entry* worker = workers_.find(decision.worker);
     if (worker == nullptr)
     {
@@ -114,11 +121,16 @@
         }
         if (answer->refusal)
         {
+            report_refusal(
+                decision,
+                *answer->refusal,
+                is_retry || answer->unanswered_copy);
             if (*answer->refusal != start_refusal::fenced &&
-                (is_retry || *answer->refusal == start_refusal::superseded))
+                (is_retry || answer->unanswered_copy ||
+                 *answer->refusal == start_refusal::superseded))
             {
-                // The first order may have been carried out, with the run ended
-                // since, or may still arrive.
+                // An earlier order or copy may have been carried out, with the
+                // run ended since, or may still arrive.
                 mark_uncertain(*worker, run, now);
                 return;
             }
@@ -143,8 +155,6 @@
           {"worker", decision.worker.str()},
           {"verdict", std::string(to_string(answer.error().effect))},
           {"reason", answer.error().message}}});
-    run.start_unsettled =
-        run.start_unsettled || answer.error().effect == verdict::may_have_run;
     if (answer.error().effect == verdict::not_run &&
         run.state == run_entry::phase::starting && !is_retry)
     {
@@ -199,8 +209,8 @@
     }
 }
 
-void fleet_owner::on_start_refused(
-    const start_decision& decision, worker_entry& worker, start_refusal reason)
+void fleet_owner::report_refusal(
+    const start_decision& decision, start_refusal reason, bool unanswered_copy)
 {
     constexpr std::array<const char*, 8> names{
         "fenced",
@@ -211,15 +221,21 @@
         "unhealthy",
         "other_incarnation",
         "malformed"};
-    const instant now = ports_.clock.now();
     ports_.events.emit(
         {event_number::start_refused,
          {{"task", text_of(decision.task)},
           {"run", std::to_string(decision.run)},
           {"worker", decision.worker.str()},
-          {"reason", names[static_cast<std::size_t>(reason)]}}});
+          {"reason", names[static_cast<std::size_t>(reason)]},
+          {"unanswered_copy", unanswered_copy ? "yes" : "no"}}});
     ports_.metrics.count(
         "fleet_starts_refused", names[static_cast<std::size_t>(reason)], 1);
+}
+
+void fleet_owner::on_start_refused(
+    const start_decision& decision, worker_entry& worker, start_refusal reason)
+{
+    const instant now = ports_.clock.now();
     undo_start(decision, "the start of another run of the gang was refused");
     worker.next_hold = now;
     schedule_poll(worker);
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -320,6 +320,7 @@
         answer.refusal = start_refusal::too_late;
         return answer;
     }
+    extend(worker, until); // Also by an order that is refused below.
     const auto last_superseded_run =
         worker.last_superseded_run.find(order.task);
     if (last_superseded_run != worker.last_superseded_run.end() &&
@@ -328,7 +329,6 @@
         answer.refusal = start_refusal::superseded;
         return answer;
     }
-    extend(worker, until);
     if (worker.runs.contains({order.task, order.run}))
     {
         return answer;
@@ -360,6 +360,32 @@
     fleet::start_order order,
     fleet::completion<fleet::start_answer> done)
 {
+    const auto known = workers_.find(target.id);
+    if (known != workers_.end() &&
+        known->second->active_faults.earlier_copy.count() > 0)
+    {
+        clock_.after(
+            known->second->active_faults.earlier_copy,
+            [this, sent_to = known->second, token, lease_until, order]
+            {
+                if (!sent_to->ended_by_restart || orders_outlive_restarts)
+                {
+                    begin(
+                        *workers_.at(sent_to->about.id),
+                        token,
+                        lease_until,
+                        order);
+                }
+            });
+        done = [done = std::move(done)](result<fleet::start_answer> answer)
+        {
+            if (answer)
+            {
+                answer->unanswered_copy = true;
+            }
+            done(std::move(answer));
+        };
+    }
     deliver<fleet::start_answer>(
         target,
         [this, token, lease_until, order = std::move(order)](
@@ -376,6 +402,19 @@
     fleet::run_number run,
     fleet::completion<worker_instant> done)
 {
+    const auto known = workers_.find(target.id);
+    if (known != workers_.end() && known->second->active_faults.losing_stops)
+    {
+        clock_.after(
+            options_.answer_timeout,
+            [done = std::move(done)] {
+                done(refuse(
+                    refusal_code::unreachable,
+                    verdict::may_have_run,
+                    "timeout"));
+            });
+        return;
+    }
     deliver<worker_instant>(
         target,
         [this, token, task, run](
@@ -394,8 +433,8 @@
             }
             clock_.after(
                 options_.stop_time,
-                [this, id = worker.about.id, task, run]
-                { finish(*workers_.at(id), task, run, run_end::stopped); });
+                [this, told = workers_.at(worker.about.id), task, run]
+                { finish(*told, task, run, run_end::stopped); });
             return clock_of(worker);
         },
         std::move(done));
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -191,6 +191,181 @@
     CHECK(world.broken_promises().empty());
 }
 
+// Guards against a task that runs again after it is done: its first order got
+// no answer, its second was carried out and ended, and the worker's next
+// incarnation carried out the first.
+TEST_CASE(
+    "a late order of a run that has ended starts nothing after a restart",
+    "[fleet]")
+{
+    const bool loses_stops = GENERATE(false, true);
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).late = 5s;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::run_started) == 0)
+    {
+        world.run(1ms);
+    }
+    world.workers.faults_of(worker_id("w0")).late = 0ms;
+    REQUIRE(world.run_until("a", job_state::completed, 3s));
+    REQUIRE(world.events.count(event_number::start_unanswered) == 1);
+    world.restart_worker("w0");
+    // A stop order that gets no answer is sent again.
+    world.workers.faults_of(worker_id("w0")).losing_stops = loses_stops;
+    for (int n = 0;
+         n < 3'000 && world.events.count(event_number::run_stopped) == 0;
+         ++n)
+    {
+        world.run(1ms);
+    }
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).losing_stops = false;
+    world.run(6s);
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: a run whose orders got no answer was
+// stopped, and the worker's next incarnation carried out one of the orders.
+TEST_CASE(
+    "a late order of a run that was stopped starts nothing after a restart",
+    "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).late = 5s;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::start_unanswered) < 2)
+    {
+        world.run(1ms);
+    }
+    world.workers.faults_of(worker_id("w0")).late = 0ms;
+    world.run(1'500ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.restart_worker("w0");
+    world.run(8s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: an order without an answer was barred
+// on the next incarnation of its worker, but not on the one after it.
+TEST_CASE(
+    "a late order starts nothing after its worker restarted twice", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).late = 5s;
+    world.submit("a", {tasks(1)});
+    world.run(600ms);
+    REQUIRE(world.starts_of("a").empty());
+    world.restart_worker("w0");
+    world.run(2s);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.restart_worker("w0");
+    world.run(8s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: a late order to an earlier incarnation
+// was refused by the present one but extended its lease, by a time on the clock
+// of the earlier one, beyond the end that the owner waited for.
+TEST_CASE(
+    "a late order that is refused does not outdate the end of a lease",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{30s, false};
+    };
+    world.run(20s);
+    world.workers.faults_of(worker_id("w0")).late = 5s;
+    world.submit("a", {tasks(1)});
+    world.run(600ms);
+    REQUIRE(world.starts_of("a").empty());
+    world.restart_worker("w0");
+    world.run(5s);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.add_worker("w1");
+    world.owner_vm()->orders.cut.insert(worker_id("w0"));
+    world.run(12s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a run that goes on after its job was cancelled: a worker took
+// a stop order and restarted, its next incarnation carried out a late copy of
+// the start order, and the owner held the stop to be answered.
+TEST_CASE(
+    "a run that a restarted worker lists is stopped there as well", "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.run(500ms);
+    world.workers.faults_of(worker_id("w0")).earlier_copy = 510ms;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::run_started) == 0)
+    {
+        world.run(1ms);
+    }
+    world.run(400ms);
+    REQUIRE(world.workers.running() == 1);
+    world.owner()->cancel(job_id("a"), [](const result<bool>&) {});
+    world.run(100ms);
+    REQUIRE(world.events.count(event_number::run_stopped) == 1);
+    world.restart_worker("w0");
+    world.run(20ms);
+    REQUIRE(world.starts_of("a").size() == 2);
+    REQUIRE(world.workers.running() == 1);
+    REQUIRE(world.events.count(event_number::worker_restarted) == 0);
+    world.run(3s);
+    REQUIRE(world.events.count(event_number::worker_restarted) == 1);
+    CHECK(world.workers.running() == 0);
+}
+
+// Guards against a task that runs twice: the refusal of a start order's second
+// copy was taken for that of the order, although the first copy, which had got
+// no answer, was carried out later.
+TEST_CASE(
+    "the refusal of an order's second copy does not withdraw the start",
+    "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.run(500ms);
+    auto& faults = world.workers.faults_of(worker_id("w0"));
+    faults.earlier_copy = 1s;
+    faults.unhealthy = true;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::start_refused) == 0)
+    {
+        world.run(1ms);
+    }
+    faults.earlier_copy = 0ms;
+    faults.unhealthy = false;
+    world.add_worker("w1");
+    world.run(5s);
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against tasks that wait for ever: the runs of a worker that died
 // before a new owner had extended its lease were never taken as ended.
 TEST_CASE(
