Failing test: the progress of a job that a new owner reads late (KNOWN-RED)

What callers would see: a task that is done starts again (TWICE), or a task runs more often than its queue allows (BUDGET).

A new owner reads the pages of jobs beside its fence and the progress after it. A job that the predecessor accepts in between, and whose tasks end before the fence is stored, is in the progress but not in the pages; the record is dropped, and the job is read later without it. In the test the done task starts a second time and the failed one a third time, with two attempts allowed.

The stand-in of the store can reject the appends of a VM to single topics: so a fence is stored late, and the renewals of an owner fail while its other calls pass.

--- a/src/standin/memory_store.cpp
+++ b/src/standin/memory_store.cpp
@@ -132,7 +132,7 @@
 {
     ++store_.calls.appends;
     fleet::scheduler_clock& clock = store_.clock_;
-    switch (mode())
+    switch (rejected_appends.contains(topic) ? store_mode::refusing : mode())
     {
     case store_mode::healthy:
         clock.after(
--- a/src/standin/memory_store.hpp
+++ b/src/standin/memory_store.hpp
@@ -95,6 +95,8 @@
 
     /// The store rejects the requests of this VM but serves the others.
     bool requests_rejected = false;
+    /// The store rejects the appends of this VM to these topics.
+    std::set<std::string> rejected_appends;
 
     void append(
         const std::string& topic,
--- /dev/null
+++ b/tests/fleet/take_over_test.cpp
@@ -0,0 +1,88 @@
+#include "support/fleet_world.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciastile;
+using namespace acaciastile::test;
+using namespace std::chrono_literals;
+using fleet::job_state;
+
+namespace
+{
+
+/// A world in which the owner was replaced and does not know it, as the store
+/// stores none of its renewals and its watch of them tells it nothing.
+struct replaced_owner_world : fleet_world
+{
+    replaced_owner_world(std::size_t workers) : fleet_world(2, workers)
+    {
+        run(500ms);
+        REQUIRE(owner_vm() != nullptr);
+        predecessor = owner_vm();
+        successor = vms[predecessor == vms[0].get() ? 1 : 0].get();
+    }
+
+    /// Advances the clock until the successor has claimed the fleet.
+    void replace()
+    {
+        store.long_polls_ignore_appends = true;
+        predecessor->store_client.rejected_appends.insert(
+            fleet::leadership::topic);
+        while (successor->owner == nullptr)
+        {
+            run(1ms);
+        }
+        REQUIRE(predecessor->owner != nullptr);
+    }
+
+    /// Stores a job and passes it on to an owner.
+    void submit_through(
+        vm& to, const std::string& id, std::vector<fleet::step_spec> steps)
+    {
+        submit(id, std::move(steps));
+        to.owner->accept(*fleet::decode_accepted_job(
+            id, store.newest(fleet::topics::jobs, id)));
+    }
+
+    vm* predecessor = nullptr;
+    vm* successor = nullptr;
+};
+
+} // namespace
+
+// Guards against a task that starts again after it was done, and against failed
+// runs that are not counted: a new owner read the progress of a job before the
+// job itself, and dropped it.
+TEST_CASE(
+    "progress of a job that a new owner reads after it is kept",
+    "[fleet][known-red]")
+{
+    replaced_owner_world world(1);
+    // The first task is soon done, the second soon fails and runs again.
+    int runs_of_second = 0;
+    world.workers.behaviour = [&runs_of_second](const fleet::task_ref& task)
+    {
+        const bool fails = task.index == 1 && runs_of_second++ == 0;
+        return standin::task_behaviour{task.index == 0 ? 50ms : 60s, fails};
+    };
+    // The successor reads the jobs, and its fence is stored late.
+    world.successor->store_client.rejected_appends.insert(
+        fleet::topics::progress);
+    world.replace();
+    world.run(10ms);
+    world.submit_through(*world.predecessor, "a", {tasks(2)});
+    world.run(300ms);
+    REQUIRE(world.starts_of("a", 0).size() == 1);
+    REQUIRE(world.starts_of("a", 1).size() == 2);
+    REQUIRE(world.workers.running() == 1);
+    world.predecessor->kill();
+    world.store.long_polls_ignore_appends = false;
+    world.successor->store_client.rejected_appends.clear();
+    world.run(5s);
+    world.workers.end_runs({{job_id("a"), 0, 0}, 1}, fleet::run_end::failed);
+    world.run(5s);
+    CHECK(world.starts_of("a", 0).size() == 1);
+    CHECK(world.starts_of("a", 1).size() == 2);
+    CHECK(world.view("a").state == job_state::failed);
+    CHECK(world.broken_promises().empty());
+}
