Failing tests: a job that the predecessor of a new owner may have started (KNOWN-RED)

What callers would see: a task runs twice at the same time (TWICE).

A job that is passed on to a new owner counts as not inherited, also if the predecessor has stored it after the successor read the jobs, and has started it on a worker that the successor does not reach. In the test the owner's renewals fail, so it is replaced; it does not know that yet, accepts a job and starts it; the caller sends the job again, to the new owner, which starts it at once on another worker.

The second test guards the other side: what is stored once the predecessor must have learnt that it was replaced is new, and waits for nothing. It fails for a job that is read from the store.

--- a/tests/fleet/take_over_test.cpp
+++ b/tests/fleet/take_over_test.cpp
@@ -85,3 +85,66 @@
     CHECK(world.view("a").state == job_state::failed);
     CHECK(world.broken_promises().empty());
 }
+
+// Guards against a task that runs twice: a job that was passed on to a new
+// owner counted as unknown to the predecessor, which had started it on a worker
+// that the new owner had not heard from.
+TEST_CASE(
+    "a job passed on to a new owner may have been started by its predecessor",
+    "[fleet][known-red]")
+{
+    replaced_owner_world world(1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.add_worker("w1", "r1-1", 32);
+    world.run(500ms);
+    world.successor->orders.cut.insert(worker_id("w1"));
+    world.replace();
+    world.run(50ms);
+    REQUIRE(world.successor->owner->loaded());
+    world.submit_through(*world.predecessor, "a", {tasks(1, 20)});
+    world.run(50ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.add_worker("w2", "r1-1", 32);
+    world.run(400ms);
+    // The caller has had no answer and sends the job again.
+    world.submit_through(*world.successor, "a", {tasks(1, 20)});
+    world.run(100ms);
+    world.predecessor->kill();
+    world.store.long_polls_ignore_appends = false;
+    world.run(20s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.view("a").state == job_state::completed);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against new jobs that wait for workers out of reach, although no
+// earlier owner can have started them.
+TEST_CASE(
+    "a job stored after a take-over does not wait for workers not heard from",
+    "[fleet][known-red]")
+{
+    const bool passed_on = GENERATE(true, false);
+    replaced_owner_world world(2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{500ms, false};
+    };
+    world.successor->orders.cut.insert(worker_id("w1"));
+    world.predecessor->kill();
+    while (world.owner() == nullptr || !world.owner()->loaded())
+    {
+        world.run(1ms);
+    }
+    world.run(1'100ms);
+    if (passed_on)
+    {
+        world.submit_through(*world.successor, "a", {tasks(1)});
+    }
+    else
+    {
+        world.submit("a", {tasks(1)});
+    }
+    CHECK(world.run_until("a", job_state::completed, 1'200ms));
+    CHECK(world.broken_promises().empty());
+}
