Failing test: a removed worker that a new owner cannot read of (KNOWN-RED)

What callers would see: a task runs twice at the same time (TWICE).

A new owner scans the latest 2,500 records of the registry's log for workers that were removed and may still run tasks. It does not notice that older ones may be missing, nor that the store has deleted records inside that range. In the test the owner cannot store that a worker is out of sight; the worker is removed, and the log is cut short or grows by 3,000 or 15,000 records before the owner dies. Its successor starts the worker's task again at once.

--- a/tests/fleet/take_over_test.cpp
+++ b/tests/fleet/take_over_test.cpp
@@ -148,3 +148,64 @@
     CHECK(world.run_until("a", job_state::completed, 1'200ms));
     CHECK(world.broken_promises().empty());
 }
+// Guards against a task that runs twice: a new owner did not notice that the
+// registry's log no longer told, or not as far back as it read, that a worker
+// was removed, and did not wait for the runs there.
+TEST_CASE(
+    "a new owner waits for runs on a worker whose removal it cannot read",
+    "[fleet][known-red]")
+{
+    // Updates of the registry after the removal, and whether they alone are
+    // left in its log.
+    const auto [updates, cut_short] = GENERATE(
+        std::pair(0, true),
+        std::pair(1'000, true),
+        std::pair(3'000, false),
+        std::pair(15'000, false));
+    replaced_owner_world world(2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.submit("a", {tasks(2, 9)});
+    world.run(1s);
+    REQUIRE(world.workers.running() == 2);
+    // The predecessor cannot store that the worker is out of sight.
+    world.predecessor->store_client.requests_rejected = true;
+    world.store.put("registry", "w1", "");
+    if (cut_short)
+    {
+        world.store.truncate_before("registry", world.store.end("registry"));
+    }
+    for (int n = 0; n < updates; ++n)
+    {
+        world.register_worker("w0");
+    }
+    world.run(600ms);
+    world.predecessor->kill();
+    world.add_worker("w2");
+    world.run(15s);
+    CHECK(world.starts_of("a", 0).size() + world.starts_of("a", 1).size() == 3);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against take-overs that wait for the leases of the predecessor only
+// because the registry's log was cut short where all removals were noted.
+TEST_CASE(
+    "a registry log that was cut short where it is not needed delays nothing",
+    "[fleet]")
+{
+    replaced_owner_world world(2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{500ms, false};
+    };
+    for (int n = 0; n < 3'000; ++n)
+    {
+        world.register_worker("w0");
+    }
+    world.run(1s);
+    world.store.truncate_before("registry", world.store.end("registry"));
+    world.predecessor->kill();
+    world.submit("a", {tasks(1)});
+    CHECK(world.run_until("a", job_state::completed, 3'500ms));
+    CHECK(world.broken_promises().empty());
+}
