A new owner notices that it cannot read which workers were removed

What callers would see: a task runs twice at the same time (TWICE).

Cause: a worker that is removed from the registry may run on, and nothing in the newest records tells of it. A new owner looked for such workers in the latest 2,500 records of the registry's log, took what it found for all, and counted neither with older removals nor with records that the store had deleted, which it may do at any time. Where a predecessor could not store its note of the worker, the tasks there started again at once.

An owner that knows all workers now stores, in the append of its notes, up to which offset of the registry they are complete: beside other progress, or by itself once 1,250 further records were read. A new owner needs the log from there on. The read of the latest 2,500 records stays as it was, beside the other reads of the load; only if the offset is further back a second one follows, of up to 10,000 records. If the log still does not reach back, the owner waits for the leases of its predecessor, as it did when the log could not be read at all. Removals before the offset are passed over. The very first owner has no predecessor and waits for nothing.

The log is read to its end rather than in one response, which also tells of workers that were removed while the newest records were read page by page.

--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -32,17 +32,25 @@
     "keyed.jobs", "keyed.jobs-1", "keyed.jobs-2", "keyed.jobs-3"};
 /// The topic in which jobs are stored first.
 inline constexpr const char* jobs = job_topics.front();
-/// Progress of jobs, keyed by job id, and records of absent workers.
+/// Progress of jobs, keyed by job id, records of absent workers, and the record
+/// `removals_noted`.
 inline constexpr const char* progress = "keyed.progress";
+/// Key of the record in `progress` that holds an offset of the registry. Of
+/// each worker that was removed before it, every run that may be left is in a
+/// record of absence.
+inline constexpr const char* removals_noted = "removals-noted";
 /// Writer name of the owner's appends to `progress`. The writer's epoch is the
 /// owner's fencing token.
 inline constexpr const char* progress_writer = "owner";
 } // namespace topics
 
 /// How many of the latest records of the registry's log a new owner scans for
-/// workers whose registration expired. Covers about 10 s of updates from 350
-/// workers and fits into one response of the store.
+/// workers whose registration expired, unless it has to go further back to
+/// reach the offset in `topics::removals_noted`. Covers about 10 s of updates
+/// from 350 workers and fits into one response of the store.
 inline constexpr log_offset registry_lookback_records = 2'500;
+/// How many records of the registry's log a new owner scans at most.
+inline constexpr log_offset max_registry_lookback_records = 10'000;
 
 /// Placeholder for workers whose ids are unknown because the registry's
 /// history could not be read. It is never sealed, so a new owner waits for the
@@ -222,7 +230,11 @@
     /// Selects the page of `loading` that a read fills.
     using loaded_page = std::function<std::optional<store_page>&(loading&)>;
     void load_newest(const std::string& topic, loaded_page into);
-    void load_expired_registrations(log_offset end);
+    /// Reads the registry's log from an offset up to its end.
+    void load_registry_history(log_offset from);
+    /// Reads more of the log if that reaches the offset up to which removed
+    /// workers are noted. Returns false if it does.
+    [[nodiscard]] bool registry_history_suffices();
     /// Applies the loaded records once all reads have completed.
     void finish_loading();
     void restore_progress(const store_record& record);
@@ -456,6 +468,10 @@
     /// the offset of the removal.
     std::map<worker_id, log_offset> expired_registrations_;
     absent_worker_table absences_;
+    /// Offset of the registry up to which absences were recorded for all
+    /// removed workers, and the one that is stored as `removals_noted`.
+    log_offset removals_recorded_ = 0;
+    log_offset removals_noted_ = 0;
     presumed_end_table presumed_ends_;
     /// Workers that report runs of a job whose record is not read yet.
     std::map<job_id, std::set<worker_id>> unread_jobs_;
--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -115,6 +115,7 @@
             absences_.record_absence(id, {});
         }
     }
+    removals_recorded_ = registry_next_;
 }
 
 void fleet_owner::update_absence_record(worker_entry& worker, bool leases_ended)
@@ -153,7 +154,10 @@
 void fleet_owner::prune_absence_records()
 {
     const auto is_past = [&](log_offset dropped_at)
-    { return dropped_at + registry_lookback_records < registry_next_; };
+    {
+        return dropped_at + registry_lookback_records < registry_next_ &&
+               dropped_at < removals_noted_;
+    };
     std::erase_if(
         expired_registrations_,
         [&](const auto& each)
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -1,6 +1,8 @@
 #include "fleet/owner.hpp"
 
+#include <absl/strings/numbers.h>
 #include <algorithm>
+#include <limits>
 
 namespace acaciastile::fleet
 {
@@ -13,57 +15,83 @@
 /// draining notice: a draining worker that loses the store runs on.
 using registration_offsets = std::map<worker_id, log_offset>;
 
-registration_offsets expired_registrations_in(
-    const store_page& history, const external_records& foreign)
+/// Part of the registry's log, from an offset up to the log's end.
+struct registry_history
 {
+    /// The first offset that was read. Higher than asked for if the store has
+    /// deleted older records, or if a read has failed.
+    log_offset from = 0;
     registration_offsets expired;
-    for (const store_record& record : history.records)
+};
+
+void add_expired_registrations(
+    registry_history& to,
+    const store_page& page,
+    const external_records& foreign)
+{
+    for (const store_record& record : page.records)
     {
         const worker_id id(record.key);
         if (foreign.read_registration(record.key, record.value))
         {
-            expired.erase(id);
+            to.expired.erase(id);
         }
         else if (record.value.empty())
         {
-            expired[id] = record.offset;
+            to.expired[id] = record.offset;
         }
     }
-    return expired;
 }
 
-/// Reads the registry's log from an offset on and passes on the registrations
-/// that expired in it. If the log cannot be read up to `end`, the result holds
-/// only `unknown_worker_id`.
-void find_expired_registrations(
+/// Reads the registry's log from `next` on, page after page, and passes on what
+/// it tells after `before`.
+void read_history(
     metadata_store& store,
     external_records& foreign,
-    log_offset from,
-    log_offset end,
-    std::function<void(registration_offsets)> done)
+    log_offset next,
+    registry_history before,
+    std::function<void(registry_history)> done)
 {
     store.read(
         foreign.registry_topic(),
-        from,
+        next,
         milliseconds::zero(),
-        [&store, &foreign, from, end, done = std::move(done)](
-            const result<store_page>& history)
+        [&store,
+         &foreign,
+         next,
+         history = std::move(before),
+         done = std::move(done)](const result<store_page>& page) mutable
         {
-            if (history && history->end >= end)
+            if (page)
             {
-                done(expired_registrations_in(*history, foreign));
-                return;
+                add_expired_registrations(history, *page, foreign);
+                if (page->is_last())
+                {
+                    done(std::move(history));
+                    return;
+                }
+                if (page->end > next)
+                {
+                    read_history(
+                        store,
+                        foreign,
+                        page->end,
+                        std::move(history),
+                        std::move(done));
+                    return;
+                }
             }
-            const bool expired = !history && history.error().code ==
-                                                 refusal_code::offset_expired;
-            const log_offset first =
-                expired ? first_kept(history.error(), from) : from;
-            if (first > from)
+            else if (page.error().code == refusal_code::offset_expired)
             {
-                find_expired_registrations(store, foreign, first, end, done);
-                return;
+                const log_offset first = first_kept(page.error(), next);
+                if (first > next)
+                {
+                    read_history(
+                        store, foreign, first, {first, {}}, std::move(done));
+                    return;
+                }
             }
-            done({{worker_id(unknown_worker_id), end}});
+            done({std::numeric_limits<log_offset>::max(), {}});
         });
 }
 
@@ -71,13 +99,14 @@
 
 /// State that a new owner reads from the store. The reads run concurrently,
 /// except that `progress` is read after the fence is stored and the history of
-/// the registry after its newest records.
+/// the registry after its newest records, again if it has to go further back.
 struct fleet_owner::loading
 {
     std::array<std::optional<store_page>, topics::job_topics.size()> jobs;
     std::optional<store_page> progress;
     std::optional<store_page> registry;
-    std::optional<registration_offsets> expired_registrations;
+    std::optional<registry_history> history;
+    log_offset history_asked_from = 0; ///< Of the last read of the history.
 };
 
 void fleet_owner::load()
@@ -150,27 +179,62 @@
                 into(*self.loading_) = *page;
                 if (topic == self.ports_.foreign.registry_topic())
                 {
-                    self.load_expired_registrations(page->end);
+                    self.load_registry_history(
+                        page->end -
+                        std::min(page->end, registry_lookback_records));
                 }
                 self.finish_loading();
             }));
 }
 
-void fleet_owner::load_expired_registrations(log_offset end)
+void fleet_owner::load_registry_history(log_offset from)
 {
-    find_expired_registrations(
+    loading_->history_asked_from = from;
+    read_history(
         ports_.store,
         ports_.foreign,
-        end - std::min(end, registry_lookback_records),
-        end,
+        from,
+        {from, {}},
         guarded(
-            [](fleet_owner& self, const registration_offsets& expired)
+            [](fleet_owner& self, registry_history history)
             {
-                self.loading_->expired_registrations = expired;
+                self.loading_->history = std::move(history);
                 self.finish_loading();
             }));
 }
 
+bool fleet_owner::registry_history_suffices()
+{
+    constexpr std::uint64_t first_token = 1;
+    removals_noted_ = 0;
+    for (const store_record& record : loading_->progress->records)
+    {
+        if (record.key == topics::removals_noted &&
+            !absl::SimpleAtoi(record.value, &removals_noted_))
+        {
+            removals_noted_ = 0;
+        }
+    }
+    registry_history& history = *loading_->history;
+    std::erase_if(
+        history.expired,
+        [&](const auto& each) { return each.second < removals_noted_; });
+    if (history.from <= removals_noted_ || token_ == first_token)
+    {
+        return true; // The first owner has no predecessor.
+    }
+    const log_offset end = loading_->registry->end;
+    if (removals_noted_ < loading_->history_asked_from &&
+        end <= removals_noted_ + max_registry_lookback_records)
+    {
+        loading_->history.reset();
+        load_registry_history(removals_noted_);
+        return false;
+    }
+    history.expired.emplace(unknown_worker_id, end);
+    return true;
+}
+
 void fleet_owner::finish_loading()
 {
     const std::shared_ptr<loading> read = loading_;
@@ -178,8 +242,8 @@
         read->jobs.begin(),
         read->jobs.end(),
         [](const auto& page) { return page.has_value(); });
-    if (!jobs_read || !read->progress || !read->registry ||
-        !read->expired_registrations)
+    if (!jobs_read || !read->progress || !read->registry || !read->history ||
+        !registry_history_suffices())
     {
         return;
     }
@@ -219,7 +283,7 @@
             unsealed_workers_.insert(id);
         }
     }
-    for (const auto& [id, dropped_at] : *read->expired_registrations)
+    for (const auto& [id, dropped_at] : read->history->expired)
     {
         if (absences_.find(id) == nullptr)
         {
@@ -255,6 +319,10 @@
         restore_absence(*absent, record);
         return;
     }
+    if (record.key == topics::removals_noted)
+    {
+        return;
+    }
     const auto progress = decode_job_progress(record.value);
     if (!progress)
     {
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -18,6 +18,7 @@
     };
     std::vector<processed_ends> ends;
     std::vector<std::function<void()>> waiters;
+    log_offset removals_noted = 0;
     std::uint64_t sequence = 0;
 };
 
@@ -53,6 +54,15 @@
         batch->records.push_back(std::move(record));
     }
     batch->waiters.swap(after_flush_);
+    batch->removals_noted = removals_recorded_;
+    const log_offset unnoted =
+        removals_recorded_ - std::min(removals_recorded_, removals_noted_);
+    if (unnoted > registry_lookback_records / 2 ||
+        (unnoted > 0 && !batch->records.empty()))
+    {
+        batch->records.push_back(
+            {0, topics::removals_noted, std::to_string(removals_recorded_)});
+    }
     if (batch->records.empty())
     {
         on_stored(batch);
@@ -142,6 +152,10 @@
             schedule_poll(*worker);
         }
     }
+    if (!batch->records.empty())
+    {
+        removals_noted_ = std::max(removals_noted_, batch->removals_noted);
+    }
     for (const auto& waiter : batch->waiters)
     {
         waiter();
--- a/tests/fleet/take_over_test.cpp
+++ b/tests/fleet/take_over_test.cpp
@@ -153,7 +153,7 @@
 // was removed, and did not wait for the runs there.
 TEST_CASE(
     "a new owner waits for runs on a worker whose removal it cannot read",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     // Updates of the registry after the removal, and whether they alone are
     // left in its log.
