Failing test: a completed job runs again after two take-overs (KNOWN-RED)

What callers would see: a task that is done starts again (TWICE), two minutes and more after its end.

The request of an ended job is deleted from its topic within 2 s, its progress after 120 s. An owner that takes over in between leaves the request where it is, and a deletion that fails is not sent again. The progress is deleted all the same; the next owner finds a request of which nothing is known and starts it.

--- a/tests/fleet/take_over_test.cpp
+++ b/tests/fleet/take_over_test.cpp
@@ -209,3 +209,39 @@
     CHECK(world.run_until("a", job_state::completed, 3'500ms));
     CHECK(world.broken_promises().empty());
 }
+
+// Guards against a task that runs twice: a new owner left the request of an
+// ended job in the store, also where its deletion had failed, and deleted the
+// job's progress later. The next owner took the job for one that waits.
+TEST_CASE(
+    "a job whose request outlives it does not start again",
+    "[fleet][known-red]")
+{
+    const bool deletion_fails = GENERATE(false, true);
+    fleet_world world(2, 1);
+    world.run(500ms);
+    REQUIRE(world.owner_vm() != nullptr);
+    world.submit("a", {tasks(1)});
+    REQUIRE(world.run_until("a", job_state::completed, 5s));
+    if (deletion_fails)
+    {
+        world.owner_vm()->store_client.rejected_appends.insert(
+            fleet::topics::jobs);
+        world.run(3s);
+        world.owner_vm()->store_client.rejected_appends.clear();
+    }
+    else
+    {
+        auto& killed = *world.owner_vm();
+        killed.kill();
+        killed.start();
+    }
+    REQUIRE_FALSE(world.store.newest(fleet::topics::jobs, "a").empty());
+    world.run(130s);
+    REQUIRE(world.store.newest(fleet::topics::progress, "a").empty());
+    world.owner_vm()->kill();
+    world.run(10s);
+    REQUIRE(world.owner() != nullptr);
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.store.newest(fleet::topics::jobs, "a").empty());
+}
