Failing test: a restarted worker drops ends that nobody has seen (KNOWN-RED)

What callers would see: a task that is done starts again (TWICE).

Each status poll carries the number up to which ends are stored, and a poll names its worker by its id, which a restarted worker may have again. One that the owner sends before it knows of the restart carries the number of the earlier incarnation. If a run has been started and has ended on the new incarnation by then, its end is below that number and is dropped unseen; the run is then missing from the worker's lists and counts as lost with the restart. It takes no late poll: that the worker had been idle, restarted, and the polls after the start were lost or slow is enough.

--- a/tests/fleet/take_over_test.cpp
+++ b/tests/fleet/take_over_test.cpp
@@ -243,3 +243,38 @@
     CHECK(world.starts_of("a").size() == 1);
     CHECK(world.store.newest(fleet::topics::jobs, "a").empty());
 }
+
+// Guards against a task that starts again after it was done: a status poll that
+// was meant for the earlier incarnation of a worker told the restarted one to
+// drop ends up to a number that the earlier one had reached.
+TEST_CASE(
+    "a restarted worker is not told to drop ends of its earlier incarnation",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{200ms, false};
+    };
+    world.submit("before", {tasks(3)});
+    REQUIRE(world.run_until("before", job_state::completed, 5s));
+    world.run(1s);
+    REQUIRE(world.workers.acknowledged_of(worker_id("w0")) == 3);
+    world.restart_worker("w0", 16, 5s);
+    world.submit("a", {tasks(1)});
+    const std::uint64_t calls = world.workers.calls();
+    while (world.workers.calls() == calls)
+    {
+        world.run(1ms);
+    }
+    // The start order is on its way. Polls after it are late, so that the run
+    // ends before the owner learns of the restart.
+    world.workers.faults_of(worker_id("w0")).late = 1s;
+    world.run(300ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    REQUIRE(world.workers.running() == 0);
+    world.workers.faults_of(worker_id("w0")).late = 0ms;
+    CHECK(world.run_until("a", job_state::completed, 10s));
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
