Log writes have whole lines and at most PIPE_BUF bytes

Cause: the appender wrote all that it held in one call, above 8 KB for the owner of a busy fleet. Nothing was dropped by the appender: on a pipe whose reader keeps up every line arrives.

On a pipe the long writes had a fault of their own: beyond PIPE_BUF bytes the system may take a part of a write. Then lines of another process that shares the pipe come between, and a process that ends leaves half a line.

A write now has as many whole lines as fit into PIPE_BUF bytes; a longer line is written alone. The pipe takes or refuses it as a whole.

Tests: 'one write has whole lines and is bounded' and 'lines of processes that share a full pipe are not mixed' failed before and pass. 'a reader that keeps up gets every log line' and 'log lines that a slow reader does not get are counted' passed before too.

--- a/src/observe/nonblocking_appender.cpp
+++ b/src/observe/nonblocking_appender.cpp
@@ -1,13 +1,37 @@
 #include "observe/nonblocking_appender.hpp"
 
+#include <algorithm>
+#include <climits>
 #include <fcntl.h>
 #include <log4cplus/layout.h>
 #include <sstream>
+#include <string_view>
 #include <unistd.h>
 
 namespace acaciastile
 {
 
+namespace
+{
+
+/// Size of the next write: as many whole lines as the system writes to a pipe
+/// at once. Only a line that is longer than that is written in parts.
+std::size_t next_write_size(std::string_view lines) noexcept
+{
+    if (lines.size() <= PIPE_BUF)
+    {
+        return lines.size();
+    }
+    const std::size_t last_end = lines.substr(0, PIPE_BUF).rfind('\n');
+    if (last_end != std::string_view::npos)
+    {
+        return last_end + 1;
+    }
+    return std::min(lines.find('\n'), lines.size() - 1) + 1;
+}
+
+} // namespace
+
 nonblocking_appender::nonblocking_appender(
     nonblocking_appender_settings settings)
     : settings_(settings)
@@ -67,10 +91,9 @@
     std::size_t written = 0;
     while (written < buffer_.size())
     {
-        const ssize_t count = ::write(
-            settings_.descriptor,
-            buffer_.data() + written,
-            buffer_.size() - written);
+        const std::string_view rest = std::string_view(buffer_).substr(written);
+        const ssize_t count =
+            ::write(settings_.descriptor, rest.data(), next_write_size(rest));
         if (count <= 0)
         {
             break; // Full or closed; retried with the next line.
--- a/src/observe/nonblocking_appender.hpp
+++ b/src/observe/nonblocking_appender.hpp
@@ -20,7 +20,9 @@
 /// Writes log lines to a non-blocking descriptor, so that a slow reader never
 /// blocks the program. Unwritten lines are buffered up to a limit; beyond it
 /// whole lines are dropped and counted. The count is logged as event 6050 once
-/// the buffer has room again.
+/// the buffer has room again. Each write has whole lines and at most `PIPE_BUF`
+/// bytes, which a pipe takes or refuses as a whole; a longer line is written
+/// alone.
 class nonblocking_appender final : public log4cplus::Appender
 {
 public:
