Dropped log lines are reported without another line

Lines that the output could not take were counted in event 6050 with the next line that found room. A process that logged nothing more after it had dropped lines never reported them, also where its output was read later.

Cause: the notice was written in append alone. A process that is killed, or whose output is not read until it ends, still cannot report.

--- a/src/observe/nonblocking_appender.cpp
+++ b/src/observe/nonblocking_appender.cpp
@@ -71,12 +71,7 @@
         ++dropped_;
         return;
     }
-    if (dropped_ > dropped_reported_)
-    {
-        buffer_ += R"({"event":6050,"name":"lines_dropped","lines":")" +
-                   std::to_string(dropped_ - dropped_reported_) + "\"}\n";
-        dropped_reported_ = dropped_;
-    }
+    report_dropped();
     buffer_ += text;
     if (std::chrono::steady_clock::now() - last_write_ >=
         settings_.write_interval)
@@ -88,6 +83,27 @@
 void nonblocking_appender::flush()
 {
     last_write_ = std::chrono::steady_clock::now();
+    write_buffer();
+    if (buffer_.empty())
+    {
+        report_dropped();
+        write_buffer();
+    }
+}
+
+void nonblocking_appender::report_dropped()
+{
+    if (dropped_ == dropped_reported_)
+    {
+        return;
+    }
+    buffer_ += R"({"event":6050,"name":"lines_dropped","lines":")" +
+               std::to_string(dropped_ - dropped_reported_) + "\"}\n";
+    dropped_reported_ = dropped_;
+}
+
+void nonblocking_appender::write_buffer()
+{
     std::size_t written = 0;
     while (written < buffer_.size())
     {
@@ -96,7 +112,7 @@
             ::write(settings_.descriptor, rest.data(), next_write_size(rest));
         if (count <= 0)
         {
-            break; // Full or closed; retried with the next line.
+            break; // Full or closed; retried with the next line or flush.
         }
         written += static_cast<std::size_t>(count);
     }
--- a/src/observe/nonblocking_appender.hpp
+++ b/src/observe/nonblocking_appender.hpp
@@ -19,10 +19,10 @@
 
 /// Writes log lines to a non-blocking descriptor, so that a slow reader never
 /// blocks the program. Unwritten lines are buffered up to a limit; beyond it
-/// whole lines are dropped and counted. The count is logged as event 6050 once
-/// the buffer has room again. Each write has whole lines and at most `PIPE_BUF`
-/// bytes, which a pipe takes or refuses as a whole; a longer line is written
-/// alone.
+/// whole lines are dropped and counted. The count is logged as event 6050
+/// before the next line that finds room, or by `flush` once all lines are
+/// written. Each write has whole lines and at most `PIPE_BUF` bytes, which a
+/// pipe takes or refuses as a whole; a longer line is written alone.
 class nonblocking_appender final : public log4cplus::Appender
 {
 public:
@@ -30,7 +30,8 @@
     ~nonblocking_appender() override;
 
     void close() override;
-    /// Writes the lines that were kept back.
+    /// Writes the lines that were kept back. Where all could be written,
+    /// dropped lines are reported.
     void flush();
     /// Number of lines dropped since construction.
     [[nodiscard]] std::uint64_t dropped() const noexcept { return dropped_; }
@@ -39,6 +40,10 @@
     void append(const log4cplus::spi::InternalLoggingEvent& event) override;
 
 private:
+    /// Adds an event 6050 to the buffer if dropped lines are unreported.
+    void report_dropped();
+    void write_buffer();
+
     nonblocking_appender_settings settings_;
     std::string buffer_;
     std::chrono::steady_clock::time_point last_write_;
--- a/tests/observe/nonblocking_appender_test.cpp
+++ b/tests/observe/nonblocking_appender_test.cpp
@@ -245,3 +245,21 @@
     CHECK(counts.dropped == process.dropped());
     CHECK(counts.starts + counts.dropped == process.logged());
 }
+
+// Guards against dropped lines that are counted only once the process logs
+// again, which a process that falls silent or ends does not do.
+TEST_CASE("dropped log lines are reported without another line", "[log]")
+{
+    output pipe = output::make_pipe();
+    logging_process process(pipe.write_end());
+    process.log_starts(3'000);
+    REQUIRE(process.dropped() > 0);
+    while (!pipe.read_all().empty())
+    {
+        process.flush();
+    }
+    const line_counts counts = count_lines(pipe.text());
+    CHECK(counts.notices == 1);
+    CHECK(counts.dropped == process.dropped());
+    CHECK(counts.starts + counts.dropped == process.logged());
+}
