A report of dropped log lines has time and level

Event 6050 was written as {"event":6050,"name":"lines_dropped","lines":"N"}, as JSON also where the log is text. Every other line begins with its time, and docs/OPERATIONS.md sorts the lines of all VMs by it; a report without it lands away from the gap that it reports.

The report now is an event like others: format_event, split off event_logger, writes its fields and the appender's layout adds time and level.

Test: 'a report of dropped log lines has the form of other lines' failed before in both formats and passes.

--- a/src/observe/event_logger.cpp
+++ b/src/observe/event_logger.cpp
@@ -133,6 +133,17 @@
 
 } // namespace
 
+std::string format_event(log_format format, const event& entry)
+{
+    const event_kind* kind = find_kind(entry.number);
+    if (kind == nullptr)
+    {
+        return {};
+    }
+    return format == log_format::json ? format_json_members(*kind, entry)
+                                      : format_text(*kind, entry);
+}
+
 std::unique_ptr<event_logger> event_logger::create(log_settings settings)
 {
     initialize_log4cplus();
@@ -176,10 +187,7 @@
     {
         return;
     }
-    const std::string line = settings_.format == log_format::json
-                                 ? format_json_members(*kind, entry)
-                                 : format_text(*kind, entry);
-    logger_.log(level_of(kind->level), line);
+    logger_.log(level_of(kind->level), format_event(settings_.format, entry));
 }
 
 } // namespace acaciastile
--- a/src/observe/event_logger.hpp
+++ b/src/observe/event_logger.hpp
@@ -4,6 +4,7 @@
 
 #include <log4cplus/logger.h>
 #include <memory>
+#include <string>
 
 namespace acaciastile
 {
@@ -21,6 +22,10 @@
     event_level min_level = event_level::info; ///< Lower ones are discarded.
 };
 
+/// Number, name and fields of an event as they stand in a log line, without the
+/// time and the level that the layout adds. Empty for an unknown event.
+[[nodiscard]] std::string format_event(log_format format, const event& entry);
+
 /// Writes events through log4cplus. Fields whose names suggest a secret, such
 /// as `key` or `token`, are written as `[redacted]`. Thread-safe.
 class event_logger final : public event_sink
--- a/src/observe/nonblocking_appender.cpp
+++ b/src/observe/nonblocking_appender.cpp
@@ -4,6 +4,7 @@
 #include <climits>
 #include <fcntl.h>
 #include <log4cplus/layout.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <sstream>
 #include <string_view>
 #include <unistd.h>
@@ -97,8 +98,18 @@
     {
         return;
     }
-    buffer_ += R"({"event":6050,"name":"lines_dropped","lines":")" +
-               std::to_string(dropped_ - dropped_reported_) + "\"}\n";
+    const event dropped{
+        event_number::lines_dropped,
+        {{"lines", std::to_string(dropped_ - dropped_reported_)}}};
+    std::ostringstream line;
+    layout->formatAndAppend(
+        line,
+        {name,
+         log4cplus::WARN_LOG_LEVEL,
+         format_event(settings_.format, dropped),
+         __FILE__,
+         __LINE__});
+    buffer_ += line.str();
     dropped_reported_ = dropped_;
 }
 
--- a/src/observe/nonblocking_appender.hpp
+++ b/src/observe/nonblocking_appender.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "observe/event_logger.hpp"
+
 #include <chrono>
 #include <cstdint>
 #include <log4cplus/appender.h>
@@ -15,6 +17,7 @@
     /// A line that follows the last write within this time is kept until the
     /// next line or a call of `flush` after it. Saves system calls under load.
     std::chrono::milliseconds write_interval{0};
+    log_format format = log_format::json; ///< That of the logger.
 };
 
 /// Writes log lines to a non-blocking descriptor, so that a slow reader never
--- a/tests/observe/nonblocking_appender_test.cpp
+++ b/tests/observe/nonblocking_appender_test.cpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 using namespace acaciastile;
+using Catch::Matchers::Matches;
 
 namespace
 {
@@ -128,11 +129,12 @@
     explicit logging_process(
         int descriptor,
         std::chrono::milliseconds write_interval =
-            std::chrono::milliseconds::zero())
+            std::chrono::milliseconds::zero(),
+        log_format format = log_format::json)
         : appender_(new nonblocking_appender(
-              {descriptor, buffer_bytes, write_interval})),
+              {descriptor, buffer_bytes, write_interval, format})),
           log_(event_logger::create(
-              {log_format::json, event_level::info},
+              {format, event_level::info},
               log4cplus::SharedAppenderPtr(appender_)))
     {
     }
@@ -263,3 +265,39 @@
     CHECK(counts.dropped == process.dropped());
     CHECK(counts.starts + counts.dropped == process.logged());
 }
+
+// Guards against a notice of dropped lines that cannot be put in order among
+// the lines of other processes.
+TEST_CASE("a report of dropped log lines has the form of other lines", "[log]")
+{
+    const log_format format = GENERATE(log_format::json, log_format::text);
+    output pipe = output::make_pipe();
+    logging_process process(
+        pipe.write_end(), std::chrono::milliseconds::zero(), format);
+    process.log_starts(3'000);
+    while (!pipe.read_all().empty())
+    {
+        process.flush();
+    }
+    const std::string& text = pipe.text();
+    const std::string last = text.substr(text.rfind('\n', text.size() - 2) + 1);
+    INFO(last);
+    const std::string count = std::to_string(process.dropped());
+    if (format == log_format::json)
+    {
+        const auto line = nlohmann::json::parse(last);
+        CHECK(line.at("event") == 6050);
+        CHECK(line.at("name") == "lines_dropped");
+        CHECK(line.at("lines") == count);
+        CHECK(line.at("level") == "WARN");
+        CHECK(line.at("time").get<std::string>().size() == 24);
+    }
+    else
+    {
+        CHECK_THAT(
+            last,
+            Matches(
+                "[-0-9]+T[:.0-9]+Z WARN  6050 lines_dropped lines=\"" + count +
+                "\"\\n"));
+    }
+}
