Metrics: lines logged and lines dropped

Dropped lines were told by event 6050 alone, which itself needs an output that takes it. The gauges log_lines and log_lines_dropped tell both counts from the start of the process.

Test: 'the metrics tell log lines and dropped ones' could not be built before; it passes, and so does the test that holds docs/API.md against the metrics.

--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -248,6 +248,7 @@
             "http_connects", "", static_cast<double>(counts.connects));
         metrics_->gauge(
             "http_timeouts", "", static_cast<double>(counts.timeouts));
+        log_appender_->measure(*metrics_);
         response.body() = metrics_->expose();
         return response;
     }
--- a/src/observe/metric_kind.hpp
+++ b/src/observe/metric_kind.hpp
@@ -120,6 +120,14 @@
      metric_type::gauge,
      "",
      "Calls that brought no answer in time."},
+    {"log_lines",
+     metric_type::gauge,
+     "",
+     "Lines logged since the start, dropped ones included, event 6050 not."},
+    {"log_lines_dropped",
+     metric_type::gauge,
+     "",
+     "Lines among them that the output did not take in time."},
 });
 
 } // namespace acaciastile
--- a/src/observe/nonblocking_appender.cpp
+++ b/src/observe/nonblocking_appender.cpp
@@ -63,6 +63,7 @@
     std::ostringstream line;
     layout->formatAndAppend(line, event);
     const std::string text = line.str();
+    ++lines_;
     if (buffer_.size() + text.size() > settings_.buffer_bytes)
     {
         flush();
@@ -92,6 +93,12 @@
     }
 }
 
+void nonblocking_appender::measure(metric_sink& measured) const
+{
+    measured.gauge("log_lines", "", static_cast<double>(lines_));
+    measured.gauge("log_lines_dropped", "", static_cast<double>(dropped_));
+}
+
 void nonblocking_appender::report_dropped()
 {
     if (dropped_ == dropped_reported_)
--- a/src/observe/nonblocking_appender.hpp
+++ b/src/observe/nonblocking_appender.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "domain/metric_sink.hpp"
 #include "observe/event_logger.hpp"
 
 #include <chrono>
@@ -38,6 +39,8 @@
     void flush();
     /// Number of lines dropped since construction.
     [[nodiscard]] std::uint64_t dropped() const noexcept { return dropped_; }
+    /// Sets the metrics `log_lines` and `log_lines_dropped`.
+    void measure(metric_sink& measured) const;
 
 protected:
     void append(const log4cplus::spi::InternalLoggingEvent& event) override;
@@ -50,6 +53,7 @@
     nonblocking_appender_settings settings_;
     std::string buffer_;
     std::chrono::steady_clock::time_point last_write_;
+    std::uint64_t lines_ = 0; ///< Dropped ones included.
     std::uint64_t dropped_ = 0;
     std::uint64_t dropped_reported_ = 0;
 };
--- a/tests/observe/nonblocking_appender_test.cpp
+++ b/tests/observe/nonblocking_appender_test.cpp
@@ -1,6 +1,7 @@
 #include "observe/nonblocking_appender.hpp"
 
 #include "observe/event_logger.hpp"
+#include "observe/metrics.hpp"
 
 #include <algorithm>
 #include <array>
@@ -17,6 +18,7 @@
 #include <vector>
 
 using namespace acaciastile;
+using Catch::Matchers::Contains;
 using Catch::Matchers::Matches;
 
 namespace
@@ -153,6 +155,12 @@
         }
     }
     void flush() { appender_->flush(); }
+    [[nodiscard]] std::string metrics_text() const
+    {
+        auto measured = metrics::create();
+        appender_->measure(*measured);
+        return measured->expose();
+    }
 
     [[nodiscard]] std::size_t logged() const noexcept { return logged_; }
     [[nodiscard]] std::size_t dropped() const noexcept
@@ -301,3 +309,20 @@
                 "\"\\n"));
     }
 }
+
+// Guards against dropped lines that nobody can see while the output takes no
+// report of them.
+TEST_CASE("the metrics tell log lines and dropped ones", "[log][metrics]")
+{
+    output pipe = output::make_pipe();
+    logging_process process(pipe.write_end());
+    process.log_starts(3'000);
+    REQUIRE(process.dropped() > 0);
+    const std::string text = process.metrics_text();
+    CHECK_THAT(text, Contains("acaciastile_log_lines 3000\n"));
+    CHECK_THAT(
+        text,
+        Contains(
+            "acaciastile_log_lines_dropped " +
+            std::to_string(process.dropped()) + "\n"));
+}
