Counts beyond a million are exposed in full

The values at /metrics were written with six digits: 12,345,678 came out as 1.23457e+07 and 3,000,001 as 3e+06, so that counts could not be compared with the lines of a log and rates over short spans came out as zero or in jumps.

Values are now written with as many digits as tell them from any other value.

Test: 'counts beyond a million are exposed in full' failed before and passes.

--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -3,8 +3,9 @@
 #include "observe/distribution.hpp"
 #include "observe/metric_kind.hpp"
 
-#include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <map>
 #include <mutex>
 #include <tuple>
@@ -88,7 +89,12 @@
     out += key.name;
     out += suffix;
     out += labels;
-    absl::StrAppend(&out, " ", value, "\n");
+    std::array<char, 32> digits{};
+    const auto written =
+        std::to_chars(digits.data(), digits.data() + digits.size(), value);
+    out += ' ';
+    out.append(digits.data(), written.ptr);
+    out += '\n';
 }
 
 /// Writes one TYPE line for each metric name.
--- a/tests/observe/metrics_test.cpp
+++ b/tests/observe/metrics_test.cpp
@@ -69,3 +69,15 @@
     }
     CHECK(collected->total("placements") == 4'000);
 }
+
+// Guards against counts that stand still for thousands of events: beyond a
+// million they had six digits.
+TEST_CASE("counts beyond a million are exposed in full", "[metrics]")
+{
+    auto collected = metrics::create();
+    collected->count("fleet_starts", "", 12'345'678);
+    collected->gauge("log_lines", "", 3'000'001);
+    const std::string text = collected->expose();
+    CHECK_THAT(text, Contains("acaciastile_fleet_starts_total 12345678\n"));
+    CHECK_THAT(text, Contains("acaciastile_log_lines 3000001\n"));
+}
