A new owner counts no more unknown work than the workers it has not heard from hold

Cause: since a new owner counts all waiting tasks of jobs that it inherited against the caps of their accounts until every worker is sealed or the longest lease has passed, 6.1 s. With two to five workers of 32 cores not heard from, it counted up to 1,303 cores of an account with a cap of 659 that ran nothing. New jobs of the account waited.

Change: what can run unknown on workers not heard from is at most the capacity of these workers, so the count is bounded by it, for each kind of resource. If the capacity of one of them is not known (its registration has expired, or is of another incarnation), all waiting tasks count as before. So do those of jobs whose runs a worker has listed before the job was read. Inherited tasks wait as before.

--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -94,7 +94,8 @@
             ports_.config(),
             now,
             inherited_may_start(),
-            dispatcher_.budget(now));
+            dispatcher_.budget(now),
+            unheard_capacity());
     }
     planning_cost_ = ports_.clock.now() - now;
     for (const permit_request& question : decided.permit_requests)
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -274,6 +274,9 @@
     /// expired. Until then, starting a task of an inherited job could run it
     /// twice.
     [[nodiscard]] bool inherited_may_start();
+    /// Capacity of all workers that could have an unknown run of an earlier
+    /// owner, or nothing if it is not known of each of them.
+    [[nodiscard]] std::optional<resources> unheard_capacity() const;
 
     /// True if there is recent evidence that no other VM has taken over: a
     /// renewal that the store has taken, or answers of at least half of the
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -620,4 +620,32 @@
     return inherited_cleared_;
 }
 
+std::optional<resources> fleet_owner::unheard_capacity() const
+{
+    const auto not_found = [&](const worker_id& id)
+    { return workers_.find(id) == nullptr; };
+    if (std::any_of(
+            unsealed_workers_.begin(), unsealed_workers_.end(), not_found))
+    {
+        return std::nullopt; // Its registration has expired.
+    }
+    resources sum;
+    for (const worker_entry* worker : workers_.out_of_sight())
+    {
+        // Of a worker with a record, at most the recorded runs are active, and
+        // they are counted already.
+        if (worker->sealed || worker->has_absence_record)
+        {
+            continue;
+        }
+        if (worker->described_incarnation == 0 ||
+            worker->described_incarnation != worker->registration.incarnation)
+        {
+            return std::nullopt; // It may have another capacity.
+        }
+        sum += worker->registration.capacity;
+    }
+    return sum;
+}
+
 } // namespace acaciastile::fleet
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -131,6 +131,8 @@
     std::size_t examined = 0;
     /// By account index: what may be running unknown to this owner.
     std::vector<resources> unknown_use;
+    /// Of the workers that this owner has not heard from, if it is known.
+    std::optional<resources> unheard_capacity;
 
     /// True if the account stays within its cap with `added`, whatever is
     /// running unknown to this owner.
@@ -154,10 +156,12 @@
     const configuration& config,
     instant now,
     bool inherited_may_start,
-    permit_request_budget budget)
+    permit_request_budget budget,
+    const std::optional<resources>& unheard_capacity)
 {
     planning_pass pass{
         jobs, workers, config, now, budget, ++pass_count_, {}, 0, {}};
+    pass.unheard_capacity = unheard_capacity;
     reservations_.resize(workers.handle_count());
     std::vector<candidate> waiting =
         collect_candidates(pass, inherited_may_start);
@@ -197,20 +201,21 @@
     return std::move(pass.decided);
 }
 
-void planner::add_unknown_use(planning_pass& pass, const job_entry& job)
+resources planner::waiting_use(const planning_pass& pass, const job_entry& job)
 {
+    resources use;
     for (const auto& steps : job.occurrences)
     {
         for (const step_entry& step : steps)
         {
             if (step.waiting > 0 && pass.jobs.is_ready(job, step))
             {
-                pass.unknown_use[job.account_index] +=
-                    resources_needed(job.spec(step.id)) *
-                    static_cast<std::int64_t>(step.waiting);
+                use += resources_needed(job.spec(step.id)) *
+                       static_cast<std::int64_t>(step.waiting);
             }
         }
     }
+    return use;
 }
 
 std::vector<planner::candidate>
@@ -227,13 +232,20 @@
         accounts.push_back(pass.config.find(name));
     }
     pass.unknown_use.resize(accounts.size());
+    // Use by tasks that may be running on workers not heard from. Those of jobs
+    // with unreconciled runs may be on other workers too.
+    std::vector<resources> unheard_use(accounts.size());
     std::vector<candidate> found;
     for (job_entry* job : pass.jobs.open())
     {
-        if (job->has_unreconciled_runs ||
-            (job->inherited && !inherited_may_start))
+        if (job->has_unreconciled_runs)
         {
-            add_unknown_use(pass, *job);
+            pass.unknown_use[job->account_index] += waiting_use(pass, *job);
+            continue;
+        }
+        if (job->inherited && !inherited_may_start)
+        {
+            unheard_use[job->account_index] += waiting_use(pass, *job);
             continue;
         }
         const queue_settings* queue = queues[job->queue_index];
@@ -267,6 +279,15 @@
             }
         }
     }
+    for (std::size_t at = 0; at < unheard_use.size(); ++at)
+    {
+        resources& use = unheard_use[at];
+        if (pass.unheard_capacity)
+        {
+            use = min(use, *pass.unheard_capacity);
+        }
+        pass.unknown_use[at] += use;
+    }
     std::vector<std::uint32_t> order(found.size());
     std::iota(order.begin(), order.end(), 0U);
     std::sort(
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -110,14 +110,18 @@
     /// Runs one planning pass over all open jobs and records the starts in
     /// `jobs` and `workers`. `inherited_may_start` tells that every worker on
     /// which a previous owner may have started runs has reported or its lease
-    /// has expired; until then, jobs accepted under a previous owner wait.
+    /// has expired; until then, jobs accepted under a previous owner wait, and
+    /// what they may be using counts against the caps of their accounts.
+    /// `unheard_capacity` is the capacity of those workers together, if it is
+    /// known: no more than that can be in use unknown to this owner.
     [[nodiscard]] plan decide(
         job_tracker& jobs,
         worker_table& workers,
         const configuration& config,
         instant now,
         bool inherited_may_start,
-        permit_request_budget budget);
+        permit_request_budget budget,
+        const std::optional<resources>& unheard_capacity = {});
 
     /// True if workers are reserved for this gang.
     [[nodiscard]] bool has_reservation(const step_id& gang) const
@@ -158,9 +162,10 @@
         std::pair<urgency_class, std::uint32_t> rank;
     };
 
-    /// Adds what the job's waiting tasks would use to the use of its account
-    /// that is not known: an earlier owner may have started them.
-    static void add_unknown_use(planning_pass& pass, const job_entry& job);
+    /// What the job's waiting tasks would use. An earlier owner may have
+    /// started them.
+    [[nodiscard]] static resources
+    waiting_use(const planning_pass& pass, const job_entry& job);
     /// Steps with waiting tasks, most urgent first.
     [[nodiscard]] std::vector<candidate>
     collect_candidates(planning_pass& pass, bool inherited_may_start);
--- a/tests/fleet/heavy_load_test.cpp
+++ b/tests/fleet/heavy_load_test.cpp
@@ -133,6 +133,65 @@
     CHECK(senders[1].result.in_time >= senders[1].result.sent * 95 / 100);
 }
 
+// The load: an account with a backlog at its cap, and a take-over while one
+// worker is out of reach of the new owner. All waiting tasks of the backlog
+// counted as running unknown, so that new jobs of the account waited for the
+// longest lease, though one worker cannot hold that many.
+TEST_CASE(
+    "a take-over with one worker out of reach leaves an account most of its "
+    "cap",
+    "[load]")
+{
+    fleet_world world(2, 4); // Resources for 64 tasks of one core.
+    fleet::account_settings account;
+    account.name = fleet::account_name("acct");
+    account.cap = {40'000, 0, 0};
+    world.config =
+        fleet::configuration(2, world.config.queues(), {account}, {});
+    world.workers.behaviour = [](const fleet::task_ref& task)
+    {
+        return standin::task_behaviour{
+            task.step.job == job_id("backlog") ? 2s : 200ms, false};
+    };
+    world.submit("backlog", {tasks(100)});
+    world.run(500ms);
+    REQUIRE(world.workers.running() == 40);
+    world.workers.faults_of(worker_id("w0")).silent = true;
+    world.owner_vm()->kill();
+    while (world.owner() == nullptr || !world.owner()->loaded())
+    {
+        world.run(10ms);
+    }
+    world.run(200ms);
+    // A new job, passed on by the VM that has stored it.
+    world.submit("new", {tasks(20)});
+    world.owner()->accept(*fleet::decode_accepted_job(
+        "new", world.store.newest(fleet::topics::jobs, "new")));
+    std::size_t most = 0;
+    for (int n = 0; n < 150; ++n)
+    {
+        world.run(20ms);
+        most = std::max(most, world.workers.running());
+    }
+    // The backlog itself waits until nothing of it can run unknown.
+    CHECK(world.starts_of("backlog", 99).empty());
+    CHECK(world.view("new").state == job_state::completed);
+    CHECK(most <= 40);
+    for (int n = 0; n < 600; ++n)
+    {
+        world.run(20ms);
+        most = std::max(most, world.workers.running());
+    }
+    CHECK(most <= 40);
+    CHECK(world.view("backlog").state == job_state::completed);
+    // Ends on the silent worker are never reported, so its tasks start again
+    // once their leases have expired, also those that were done.
+    for (const std::string& broken : world.broken_promises())
+    {
+        CHECK(broken.starts_with("started after it was done: backlog"));
+    }
+}
+
 TEST_CASE(
     "under overload, late jobs do not delay jobs that can still be in time",
     "[load]")
