The capacity of a worker whose registration expired bounds unknown work too

Cause: the bound on work that may run unknown held only while every worker not heard from was registered.

Change: the registry's history, which is read to find such workers, gives the capacity of their latest incarnation. A worker whose history tells none, or a history that could not be read to its end, switches the bound off as before.

--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -451,6 +451,8 @@
     /// Workers whose registration was removed before this owner loaded it, and
     /// the offset of the removal.
     std::map<worker_id, log_offset> expired_registrations_;
+    /// Capacities of those of them that had one in the history at the load.
+    std::map<worker_id, resources> expired_capacities_;
     absent_worker_table absences_;
     presumed_end_table presumed_ends_;
     /// Workers that report runs of a job whose record is not read yet.
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -8,25 +8,45 @@
 namespace
 {
 
-/// Workers whose registration was removed, and the offset of the removal. They
-/// may still be alive and run tasks that an earlier owner started, also after a
-/// draining notice: a draining worker that loses the store runs on.
-using registration_offsets = std::map<worker_id, log_offset>;
+/// A registration that was removed.
+struct expired_registration
+{
+    log_offset dropped_at = 0; ///< Offset of the removal.
+    /// Of the worker's latest incarnation, if the history still tells it.
+    std::optional<resources> capacity;
+};
 
-registration_offsets expired_registrations_in(
+/// Workers whose registration was removed. They may still be alive and run
+/// tasks that an earlier owner started, also after a draining notice: a
+/// draining worker that loses the store runs on.
+using expired_registrations = std::map<worker_id, expired_registration>;
+
+expired_registrations expired_registrations_in(
     const store_page& history, const external_records& foreign)
 {
-    registration_offsets expired;
+    expired_registrations expired;
+    std::map<worker_id, worker_registration> latest;
     for (const store_record& record : history.records)
     {
         const worker_id id(record.key);
-        if (foreign.read_registration(record.key, record.value))
+        if (const auto registration =
+                foreign.read_registration(record.key, record.value))
         {
             expired.erase(id);
+            const auto known = latest.try_emplace(id, *registration).first;
+            if (known->second.incarnation <= registration->incarnation)
+            {
+                known->second = *registration;
+            }
         }
         else if (record.value.empty())
         {
-            expired[id] = record.offset;
+            const auto known = latest.find(id);
+            expired[id] = {
+                record.offset,
+                known == latest.end()
+                    ? std::optional<resources>()
+                    : std::optional<resources>(known->second.capacity)};
         }
     }
     return expired;
@@ -40,7 +60,7 @@
     external_records& foreign,
     log_offset from,
     log_offset end,
-    std::function<void(registration_offsets)> done)
+    std::function<void(expired_registrations)> done)
 {
     store.read(
         foreign.registry_topic(),
@@ -63,7 +83,7 @@
                 find_expired_registrations(store, foreign, first, end, done);
                 return;
             }
-            done({{worker_id(unknown_worker_id), end}});
+            done({{worker_id(unknown_worker_id), {end, std::nullopt}}});
         });
 }
 
@@ -77,7 +97,7 @@
     std::array<std::optional<store_page>, topics::job_topics.size()> jobs;
     std::optional<store_page> progress;
     std::optional<store_page> registry;
-    std::optional<registration_offsets> expired_registrations;
+    std::optional<expired_registrations> expired;
 };
 
 void fleet_owner::load()
@@ -163,9 +183,9 @@
         end - std::min(end, registry_lookback_records),
         end,
         guarded(
-            [](fleet_owner& self, const registration_offsets& expired)
+            [](fleet_owner& self, const expired_registrations& expired)
             {
-                self.loading_->expired_registrations = expired;
+                self.loading_->expired = expired;
                 self.finish_loading();
             }));
 }
@@ -177,8 +197,7 @@
         read->jobs.begin(),
         read->jobs.end(),
         [](const auto& page) { return page.has_value(); });
-    if (!jobs_read || !read->progress || !read->registry ||
-        !read->expired_registrations)
+    if (!jobs_read || !read->progress || !read->registry || !read->expired)
     {
         return;
     }
@@ -218,13 +237,17 @@
             unsealed_workers_.insert(id);
         }
     }
-    for (const auto& [id, dropped_at] : *read->expired_registrations)
+    for (const auto& [id, registration] : *read->expired)
     {
         if (absences_.find(id) == nullptr)
         {
             unsealed_workers_.insert(id);
         }
-        expired_registrations_.emplace(id, dropped_at);
+        expired_registrations_.emplace(id, registration.dropped_at);
+        if (registration.capacity)
+        {
+            expired_capacities_.emplace(id, *registration.capacity);
+        }
     }
     loaded_ = true;
     last_store_answer_ = ports_.clock.now();
@@ -622,14 +645,20 @@
 
 std::optional<resources> fleet_owner::unheard_capacity() const
 {
-    const auto not_found = [&](const worker_id& id)
-    { return workers_.find(id) == nullptr; };
-    if (std::any_of(
-            unsealed_workers_.begin(), unsealed_workers_.end(), not_found))
+    resources sum;
+    for (const worker_id& id : unsealed_workers_)
     {
-        return std::nullopt; // Its registration has expired.
+        if (workers_.find(id) != nullptr)
+        {
+            continue; // Counted below.
+        }
+        const auto expired = expired_capacities_.find(id);
+        if (expired == expired_capacities_.end())
+        {
+            return std::nullopt;
+        }
+        sum += expired->second;
     }
-    resources sum;
     for (const worker_entry* worker : workers_.out_of_sight())
     {
         // Of a worker with a record, at most the recorded runs are active, and
--- a/tests/fleet/heavy_load_test.cpp
+++ b/tests/fleet/heavy_load_test.cpp
@@ -156,8 +156,14 @@
     world.submit("backlog", {tasks(100)});
     world.run(500ms);
     REQUIRE(world.workers.running() == 40);
+    const bool registered = GENERATE(true, false);
     world.workers.faults_of(worker_id("w0")).silent = true;
     world.owner_vm()->kill();
+    if (!registered)
+    {
+        // It lost the store as well, too late for the earlier owner to note.
+        world.store.put("registry", "w0", "");
+    }
     while (world.owner() == nullptr || !world.owner()->loaded())
     {
         world.run(10ms);
