--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -135,7 +135,8 @@
 
 void fleet_owner::confirm(instant sent)
 {
-    confirmed_by_store_ = sent;
+    confirmed_by_store_ =
+        confirmed_by_store_ ? std::max(*confirmed_by_store_, sent) : sent;
     if (!was_confirmed_)
     {
         schedule_round();
@@ -160,17 +161,19 @@
 
 bool fleet_owner::is_confirmed_by_workers(instant now) const
 {
-    // Idle workers are polled only while no worker has runs. Those that do not
-    // answer count also when their leases have expired: a successor may reach
-    // them.
+    // Idle workers are polled only while no worker has runs. Workers whose runs
+    // were lost since the store last confirmed the ownership still count: a
+    // successor may reach them.
     const bool count_idle = workers_.busy() == 0;
     std::size_t counted = 0;
     std::size_t answered = 0;
     for (const worker_entry* worker : workers_.all())
     {
-        const bool counts =
-            !worker->runs.empty() ||
-            (worker->listed && (count_idle || !worker->reachable));
+        const bool lost_runs = worker->lost_runs_at &&
+                               (!confirmed_by_store_ ||
+                                *worker->lost_runs_at > *confirmed_by_store_);
+        const bool counts = !worker->runs.empty() || lost_runs ||
+                            (worker->listed && count_idle);
         if (!counts)
         {
             continue;
@@ -182,7 +185,7 @@
                 ? 1
                 : 0;
     }
-    return answered > 0 && answered * 2 >= counted;
+    return answered * 2 > counted;
 }
 
 bool fleet_owner::is_renewal_overdue() const
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -9,6 +9,7 @@
 #include "fleet/poll_schedule.hpp"
 #include "fleet/ports.hpp"
 #include "fleet/presumed_ends.hpp"
+#include "fleet/unsettled_orders.hpp"
 #include "fleet/worker_table.hpp"
 
 #include <array>
@@ -32,17 +33,25 @@
     "keyed.jobs", "keyed.jobs-1", "keyed.jobs-2", "keyed.jobs-3"};
 /// The topic in which jobs are stored first.
 inline constexpr const char* jobs = job_topics.front();
-/// Progress of jobs, keyed by job id, and records of absent workers.
+/// Progress of jobs, keyed by job id, records of absent workers, and the record
+/// `removals_noted`.
 inline constexpr const char* progress = "keyed.progress";
+/// Key of the record in `progress` that holds an offset of the registry. Of
+/// each worker that was removed before it, every run that may be left is in a
+/// record of absence.
+inline constexpr const char* removals_noted = "removals-noted";
 /// Writer name of the owner's appends to `progress`. The writer's epoch is the
 /// owner's fencing token.
 inline constexpr const char* progress_writer = "owner";
 } // namespace topics
 
 /// How many of the latest records of the registry's log a new owner scans for
-/// workers whose registration expired. Covers about 10 s of updates from 350
-/// workers and fits into one response of the store.
+/// workers whose registration expired, unless it has to go further back to
+/// reach the offset in `topics::removals_noted`. Covers about 10 s of updates
+/// from 350 workers and fits into one response of the store.
 inline constexpr log_offset registry_lookback_records = 2'500;
+/// How many records of the registry's log a new owner scans at most.
+inline constexpr log_offset max_registry_lookback_records = 10'000;
 
 /// Placeholder for workers whose ids are unknown because the registry's
 /// history could not be read. It is never sealed, so a new owner waits for the
@@ -79,18 +88,18 @@
     milliseconds status_poll_wait{1'000};
     /// As above, while a renewal of the ownership is overdue: shorter, as the
     /// answers then have to show that this VM still owns the fleet.
-    milliseconds status_poll_wait_unconfirmed{500};
-    /// How long a renewal that the store has taken confirms the ownership. A
-    /// successor waits for one lease and `status_poll_wait` after it has
-    /// loaded, so leases that are extended within that time end before it goes
-    /// on.
+    milliseconds status_poll_wait_unconfirmed{250};
+    /// How long an append that the store has taken under this owner's token
+    /// confirms the ownership. A successor waits for one lease and this time
+    /// after it has loaded, so leases extended within it end before it goes on.
     milliseconds store_confirmation{1'000};
     /// A renewal that is not taken after this time is overdue. Renewals are
-    /// sent every 0.5 s.
-    milliseconds renewal_overdue{600};
+    /// sent every 0.5 s, and a slow store takes 0.24 s.
+    milliseconds renewal_overdue{800};
     /// How long an answer to a status poll counts as evidence that the worker
-    /// has not been sealed by a successor.
-    milliseconds worker_confirmation{1'500};
+    /// has not been sealed by a successor. Less than `store_confirmation` by
+    /// the time that a successor takes to seal the workers it reaches.
+    milliseconds worker_confirmation{700};
     /// Delay before the next call to a worker that did not answer, or that has
     /// runs or ends whose state is not settled yet.
     milliseconds worker_retry_delay{150};
@@ -173,8 +182,9 @@
     /// Number of jobs in a queue of which no task is known to have started.
     [[nodiscard]] std::size_t pending(const queue_name& queue) const;
 
-    /// Records that the store has taken a renewal of this ownership that was
-    /// sent at that time of `scheduler_clock::now_with_suspends`.
+    /// Records that the store has taken a claim, a renewal or progress of this
+    /// owner that was sent at that time of
+    /// `scheduler_clock::now_with_suspends`.
     void confirm(instant sent);
 
     /// Time since the store last answered a read of the registry, which is
@@ -222,7 +232,11 @@
     /// Selects the page of `loading` that a read fills.
     using loaded_page = std::function<std::optional<store_page>&(loading&)>;
     void load_newest(const std::string& topic, loaded_page into);
-    void load_expired_registrations(log_offset end);
+    /// Reads the registry's log from an offset up to its end.
+    void load_registry_history(log_offset from);
+    /// Reads more of the log if that reaches the offset up to which removed
+    /// workers are noted. Returns false if it does.
+    [[nodiscard]] bool registry_history_suffices();
     /// Applies the loaded records once all reads have completed.
     void finish_loading();
     void restore_progress(const store_record& record);
@@ -263,6 +277,11 @@
     void read_jobs_now(std::size_t topic, completion<void> done);
     void apply_jobs_page(std::size_t topic, const store_page& page);
     void add_job(accepted_job job, bool inherited);
+    /// Reads all jobs that were stored while an earlier owner may have decided.
+    void read_predecessor_jobs();
+    /// True if an earlier owner may have started a job that is read or passed
+    /// on now, on a worker that has not reported yet.
+    [[nodiscard]] bool may_be_inherited();
     /// Charges a job to the rate limit of its account at the given instant, and
     /// marks the job if the limit is exceeded.
     void charge_rate(job_entry& job, instant at);
@@ -279,8 +298,8 @@
     [[nodiscard]] std::optional<resources> unheard_capacity() const;
 
     /// True if there is recent evidence that no other VM has taken over: a
-    /// renewal that the store has taken, or answers of at least half of the
-    /// workers with runs. Without it, a successor may be starting tasks whose
+    /// renewal or progress that the store has taken, or answers of most workers
+    /// with runs. Without it, a successor may be starting tasks whose
     /// runs here have leases from this owner, so no lease is extended and
     /// nothing is started.
     [[nodiscard]] bool is_confirmed();
@@ -295,6 +314,9 @@
     void run_round();
     void execute(const start_decision& decision);
     void send_start(const start_decision& decision, bool is_retry);
+    /// Undoes a start whose order is not sent because the ownership is not
+    /// confirmed. If it is a repetition, the first order may be carried out.
+    void on_start_not_sent(const start_decision& decision, bool is_retry);
     void on_start_answer(
         const start_decision& decision,
         bool is_retry,
@@ -307,6 +329,12 @@
         const start_decision& decision,
         worker_entry& worker,
         start_refusal reason);
+    /// Logs a refusal. `unanswered_copy`: an earlier copy of the order was sent
+    /// without a response.
+    void report_refusal(
+        const start_decision& decision,
+        start_refusal reason,
+        bool unanswered_copy);
     /// Removes a run that was not started, and stops the other runs of its gang
     /// for the given reason.
     void undo_start(const start_decision& decision, std::string_view reason);
@@ -374,19 +402,35 @@
         worker_entry& worker,
         const std::set<run_ref>& kept,
         presumed_end reason);
-    /// Runs whose start order the worker, or its next incarnation, may still
-    /// carry out.
-    [[nodiscard]] static std::vector<run_ref>
-    runs_with_unsettled_start(const worker_entry& worker);
-    /// Stops a run on the present incarnation of its worker, which then rejects
-    /// a start order for it that arrives later.
-    void stop_unsettled_run(worker_entry& worker, run_entry& run);
+    /// Runs, recorded or not, whose start order the worker or a later
+    /// incarnation of it may still carry out.
+    [[nodiscard]] std::set<run_ref>
+    runs_with_unsettled_start(const worker_entry& worker) const;
+    /// Stops a run on the new incarnation of its worker, which then rejects a
+    /// start order for it that arrives later. A stop order that arrives late
+    /// itself does no harm: it affects no run of a higher number, and a run
+    /// that was stopped is not ordered again.
+    void bar_run(worker_entry& worker, const run_ref& run);
     /// Ends the runs of unreachable workers whose lease has expired.
     void expire_leases();
     void
     stop_run(worker_entry& worker, run_entry& run, std::string_view reason);
+    /// Logs that a run is told to stop.
+    void report_stop(
+        const worker_entry& worker,
+        const run_ref& run,
+        std::string_view reason);
+    /// Sends a stop order to the worker's present incarnation until it is
+    /// answered. If the run is not recorded, no longer than a start order for
+    /// it may still be carried out.
     void
     send_stop(const worker_id& worker, const task_ref& task, run_number run);
+    /// `incarnation`: the one that the stop order was sent to.
+    void on_stop_answer(
+        const worker_id& worker,
+        std::uint64_t incarnation,
+        const run_ref& run,
+        const result<worker_instant>& answer);
     /// Stops the live runs of a task on all workers, except one run.
     void stop_other_runs(
         const task_ref& task, run_number except, std::string_view reason);
@@ -406,6 +450,9 @@
     /// Deletes the requests of ended jobs from the store; their progress
     /// records stay.
     void drop_ended_requests();
+    /// Deletes requests from one topic, later again if the store does not take
+    /// that.
+    void drop_requests(std::size_t topic, std::vector<store_record> deletions);
     /// Deletes jobs that ended more than `status_kept` ago.
     void forget_old_jobs();
 
@@ -439,13 +486,15 @@
     /// When every lease granted by an earlier owner has expired.
     instant inherited_leases_end_{};
     bool inherited_cleared_ = false; ///< Latches `inherited_may_start`.
-    /// When the last renewal that the store has taken was sent. This and the
-    /// next three are times of `scheduler_clock::now_with_suspends`.
+    /// When the last append that confirms the ownership was sent. This and the
+    /// next are times of `scheduler_clock::now_with_suspends`.
     std::optional<instant> confirmed_by_store_;
     /// When the workers' answers were last counted, and the result.
     instant workers_counted_{};
     bool confirmed_by_workers_ = false;
     bool was_confirmed_ = true; ///< As last logged.
+    /// Every job that an earlier owner may have started is known.
+    bool predecessor_jobs_read_ = false;
     /// Workers that may run tasks of an earlier owner and are not sealed yet.
     std::set<worker_id> unsealed_workers_;
     /// Workers whose registration was removed before this owner loaded it, and
@@ -454,7 +503,12 @@
     /// Capacities of those of them that had one in the history at the load.
     std::map<worker_id, resources> expired_capacities_;
     absent_worker_table absences_;
+    /// Offset of the registry up to which absences were recorded for all
+    /// removed workers, and the one that is stored as `removals_noted`.
+    log_offset removals_recorded_ = 0;
+    log_offset removals_noted_ = 0;
     presumed_end_table presumed_ends_;
+    unsettled_order_table unsettled_orders_;
     /// Workers that report runs of a job whose record is not read yet.
     std::map<job_id, std::set<worker_id>> unread_jobs_;
 
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -18,7 +18,9 @@
     };
     std::vector<processed_ends> ends;
     std::vector<std::function<void()>> waiters;
+    log_offset removals_noted = 0;
     std::uint64_t sequence = 0;
+    instant sent{}; ///< First, by `scheduler_clock::now_with_suspends`.
 };
 
 void fleet_owner::flush()
@@ -53,6 +55,15 @@
         batch->records.push_back(std::move(record));
     }
     batch->waiters.swap(after_flush_);
+    batch->removals_noted = removals_recorded_;
+    const log_offset unnoted =
+        removals_recorded_ - std::min(removals_recorded_, removals_noted_);
+    if (unnoted > registry_lookback_records / 2 ||
+        (unnoted > 0 && !batch->records.empty()))
+    {
+        batch->records.push_back(
+            {0, topics::removals_noted, std::to_string(removals_recorded_)});
+    }
     if (batch->records.empty())
     {
         on_stored(batch);
@@ -61,6 +72,7 @@
     flushing_ = true;
     next_flush_ = now + settings_.flush_interval;
     batch->sequence = sequence_++;
+    batch->sent = ports_.clock.now_with_suspends();
     send_batch(batch);
 }
 
@@ -78,6 +90,8 @@
                 if (stored)
                 {
                     self.flushing_ = false;
+                    // A successor fences these appends before it loads.
+                    self.confirm(batch->sent);
                     if (self.store_lost_)
                     {
                         self.store_lost_ = false;
@@ -142,6 +156,10 @@
             schedule_poll(*worker);
         }
     }
+    if (!batch->records.empty())
+    {
+        removals_noted_ = std::max(removals_noted_, batch->removals_noted);
+    }
     for (const auto& waiter : batch->waiters)
     {
         waiter();
@@ -150,6 +168,9 @@
 
 void fleet_owner::drop_ended_requests()
 {
+    // First: a job is kept until the store has answered the deletion of its
+    // request.
+    forget_old_jobs();
     std::array<std::vector<store_record>, topics::job_topics.size()> dropped;
     std::vector<job_id> unread;
     for (const job_id& id : ended_jobs_)
@@ -176,19 +197,46 @@
     {
         if (!dropped[topic].empty())
         {
-            // A failure is ignored: the next owner only loads a few more
-            // requests.
-            ports_.store.append(
-                topics::job_topics[topic],
-                std::move(dropped[topic]),
-                {},
-                [](const result<log_offset>&) {});
+            drop_requests(topic, std::move(dropped[topic]));
         }
     }
-    forget_old_jobs();
     later(settings_.cleanup_interval, &fleet_owner::drop_ended_requests);
 }
 
+void fleet_owner::drop_requests(
+    std::size_t topic, std::vector<store_record> deletions)
+{
+    const auto bit = static_cast<std::uint8_t>(1U << topic);
+    for (const store_record& each : deletions)
+    {
+        // A copy that is read later may have been stored after the deletion.
+        jobs_.find(job_id(each.key))->stored_in &=
+            static_cast<std::uint8_t>(~bit);
+    }
+    ports_.store.append(
+        topics::job_topics[topic],
+        deletions,
+        {},
+        guarded(
+            [bit,
+             deletions](fleet_owner& self, const result<log_offset>& stored)
+            {
+                if (stored)
+                {
+                    return;
+                }
+                for (const store_record& each : deletions)
+                {
+                    const job_id id(each.key);
+                    if (job_entry* job = self.jobs_.find(id))
+                    {
+                        job->stored_in |= bit;
+                        self.ended_jobs_.push_back(id);
+                    }
+                }
+            }));
+}
+
 void fleet_owner::forget_old_jobs()
 {
     std::vector<store_record> dropped;
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -187,8 +187,8 @@
     return entry;
 }
 
-std::vector<worker_id>
-worker_table::forget_unlisted(const std::function<bool(log_offset)>& is_past)
+std::vector<worker_id> worker_table::forget_unlisted(
+    const std::function<bool(const worker_entry&)>& may_forget)
 {
     std::vector<worker_id> forgotten;
     std::erase_if(
@@ -196,7 +196,7 @@
         [&](worker_entry* worker)
         {
             if (worker->listed || !worker->runs.empty() ||
-                worker->hold_in_flight || !is_past(worker->dropped_at))
+                worker->hold_in_flight || !may_forget(*worker))
             {
                 return false;
             }
@@ -224,7 +224,11 @@
 
 worker_instant worker_table::extend_lease(worker_entry& worker, instant now)
 {
-    const milliseconds since = now - worker.clock_received_at;
+    // By the slowest clock: a reading may be old, and no lease may end later
+    // than a successor expects.
+    const milliseconds since(static_cast<milliseconds::rep>(
+        static_cast<double>((now - worker.clock_received_at).count()) *
+        settings_.slowest_clock));
     const worker_instant until = worker.clock + since + settings_.lease;
     worker.lease_until = std::max(worker.lease_until, until);
     const auto left = worker.lease_until - worker.clock;
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -64,9 +64,14 @@
         bool refusing = false;       ///< Refuses connections.
         bool failing = false;        ///< Every run fails.
         bool unhealthy = false;      ///< Rejects starts as unhealthy.
+        bool losing_stops = false;   ///< Stop orders do not arrive.
         bool losing_answers = false; ///< Executes orders; replies are lost.
         /// If not zero, orders get no reply and are executed after this delay.
         milliseconds late{0};
+        /// If not zero, a start order is sent in two copies, as by a client
+        /// whose connection breaks: the first gets no reply and is executed
+        /// after this delay, the second gets the reply.
+        milliseconds earlier_copy{0};
         milliseconds order_transit{0};  ///< Added to the way of start orders.
         milliseconds report_transit{0}; ///< Added to the way of status reports.
     };
