--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -293,6 +293,9 @@
     /// expired. Until then, starting a task of an inherited job could run it
     /// twice.
     [[nodiscard]] bool inherited_may_start();
+    /// Capacity of all workers that could have an unknown run of an earlier
+    /// owner, or nothing if it is not known of each of them.
+    [[nodiscard]] std::optional<resources> unheard_capacity() const;
 
     /// True if there is recent evidence that no other VM has taken over: a
     /// renewal or progress that the store has taken, or answers of most workers
@@ -497,6 +500,8 @@
     /// Workers whose registration was removed before this owner loaded it, and
     /// the offset of the removal.
     std::map<worker_id, log_offset> expired_registrations_;
+    /// Capacities of those of them that had one in the history at the load.
+    std::map<worker_id, resources> expired_capacities_;
     absent_worker_table absences_;
     /// Offset of the registry up to which absences were recorded for all
     /// removed workers, and the one that is stored as `removals_noted`.
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -10,10 +10,18 @@
 namespace
 {
 
-/// Workers whose registration was removed, and the offset of the removal. They
-/// may still be alive and run tasks that an earlier owner started, also after a
-/// draining notice: a draining worker that loses the store runs on.
-using registration_offsets = std::map<worker_id, log_offset>;
+/// A registration that was removed.
+struct expired_registration
+{
+    log_offset dropped_at = 0; ///< Offset of the removal.
+    /// Of the worker's latest incarnation, if the history still tells it.
+    std::optional<resources> capacity;
+};
+
+/// Workers whose registration was removed. They may still be alive and run
+/// tasks that an earlier owner started, also after a draining notice: a
+/// draining worker that loses the store runs on.
+using expired_registrations = std::map<worker_id, expired_registration>;
 
 /// Part of the registry's log, from an offset up to the log's end.
 struct registry_history
@@ -21,7 +29,9 @@
     /// The first offset that was read. Higher than asked for if the store has
     /// deleted older records, or if a read has failed.
     log_offset from = 0;
-    registration_offsets expired;
+    expired_registrations expired;
+    /// Of each worker, its latest incarnation.
+    std::map<worker_id, worker_registration> latest;
 };
 
 void add_expired_registrations(
@@ -32,13 +42,24 @@
     for (const store_record& record : page.records)
     {
         const worker_id id(record.key);
-        if (foreign.read_registration(record.key, record.value))
+        if (const auto registration =
+                foreign.read_registration(record.key, record.value))
         {
             to.expired.erase(id);
+            const auto known = to.latest.try_emplace(id, *registration).first;
+            if (known->second.incarnation <= registration->incarnation)
+            {
+                known->second = *registration;
+            }
         }
         else if (record.value.empty())
         {
-            to.expired[id] = record.offset;
+            const auto known = to.latest.find(id);
+            to.expired[id] = {
+                record.offset,
+                known == to.latest.end()
+                    ? std::optional<resources>()
+                    : std::optional<resources>(known->second.capacity)};
         }
     }
 }
@@ -87,11 +108,15 @@
                 if (first > next)
                 {
                     read_history(
-                        store, foreign, first, {first, {}}, std::move(done));
+                        store,
+                        foreign,
+                        first,
+                        {first, {}, {}},
+                        std::move(done));
                     return;
                 }
             }
-            done({std::numeric_limits<log_offset>::max(), {}});
+            done({std::numeric_limits<log_offset>::max(), {}, {}});
         });
 }
 
@@ -218,7 +243,8 @@
     registry_history& history = *loading_->history;
     std::erase_if(
         history.expired,
-        [&](const auto& each) { return each.second < removals_noted_; });
+        [&](const auto& each)
+        { return each.second.dropped_at < removals_noted_; });
     if (history.from <= removals_noted_ || token_ == first_token)
     {
         return true; // The first owner has no predecessor.
@@ -231,7 +257,8 @@
         load_registry_history(removals_noted_);
         return false;
     }
-    history.expired.emplace(unknown_worker_id, end);
+    history.expired.emplace(
+        unknown_worker_id, expired_registration{end, std::nullopt});
     return true;
 }
 
@@ -289,13 +316,17 @@
             unsealed_workers_.insert(id);
         }
     }
-    for (const auto& [id, dropped_at] : read->history->expired)
+    for (const auto& [id, registration] : read->history->expired)
     {
         if (absences_.find(id) == nullptr)
         {
             unsealed_workers_.insert(id);
         }
-        expired_registrations_.emplace(id, dropped_at);
+        expired_registrations_.emplace(id, registration.dropped_at);
+        if (registration.capacity)
+        {
+            expired_capacities_.emplace(id, *registration.capacity);
+        }
     }
     loaded_ = true;
     last_store_answer_ = ports_.clock.now();
@@ -716,4 +747,38 @@
     return inherited_cleared_;
 }
 
+std::optional<resources> fleet_owner::unheard_capacity() const
+{
+    resources sum;
+    for (const worker_id& id : unsealed_workers_)
+    {
+        if (workers_.find(id) != nullptr)
+        {
+            continue; // Counted below.
+        }
+        const auto expired = expired_capacities_.find(id);
+        if (expired == expired_capacities_.end())
+        {
+            return std::nullopt;
+        }
+        sum += expired->second;
+    }
+    for (const worker_entry* worker : workers_.out_of_sight())
+    {
+        // Of a worker with a record, at most the recorded runs are active, and
+        // they are counted already.
+        if (worker->sealed || worker->has_absence_record)
+        {
+            continue;
+        }
+        if (worker->described_incarnation == 0 ||
+            worker->described_incarnation != worker->registration.incarnation)
+        {
+            return std::nullopt; // It may have another capacity.
+        }
+        sum += worker->registration.capacity;
+    }
+    return sum;
+}
+
 } // namespace acaciastile::fleet
