--- a/tests/fleet/replaced_owner_test.cpp
+++ b/tests/fleet/replaced_owner_test.cpp
@@ -166,7 +166,7 @@
         twice,
         [](const std::string& each)
         { return each.find("two runs at once") == std::string::npos; });
-    CHECK(twice == std::vector<std::string>{});
+    CHECK(twice.empty());
 }
 
 // Guards against a task that runs twice: a process that stands still in the
@@ -205,7 +205,7 @@
     world.run(30s);
     REQUIRE(world.events.count(event_number::run_started) >= 2);
     REQUIRE(successor.leadership->is_owner());
-    CHECK(world.broken_promises() == std::vector<std::string>{});
+    CHECK(world.broken_promises().empty());
 }
 
 // Guards against a task that runs twice: a lease on the clock of a worker's
@@ -236,7 +236,7 @@
     }
     world.workers.faults_of(worker).silent = true;
     world.run(20s);
-    CHECK(world.broken_promises() == std::vector<std::string>{});
+    CHECK(world.broken_promises().empty());
 }
 
 // As above, by a status poll that is carried out late: its lease is on the
@@ -267,7 +267,7 @@
     world.add_worker("w1");
     world.run(15s);
     CHECK(world.starts_of("a").size() == 3);
-    CHECK(world.broken_promises() == std::vector<std::string>{});
+    CHECK(world.broken_promises().empty());
 }
 
 // Guards against lost work: workers without runs that are cut off count against
