A start's log line tells what the owner counts on the worker

Cause: the logs do not tell the hypotheses of LIMIT apart: neither what an owner held as used on a worker at a start, nor which capacity, nor for which life of the worker the order was.

No decision changes.

--- a/src/fleet/event_text.hpp
+++ b/src/fleet/event_text.hpp
@@ -21,6 +21,15 @@
     return std::to_string(time.count());
 }
 
+/// Formats resources for log lines: thousandths of a processor core, mebibytes
+/// and accelerators, separated by slashes.
+[[nodiscard]] inline std::string text_of(const resources& amount)
+{
+    return std::to_string(amount.milli_processors) + "/" +
+           std::to_string(amount.memory_mib) + "/" +
+           std::to_string(amount.accelerators);
+}
+
 /// A list of runs for one log line, as `TASK/RUN` separated by spaces. A long
 /// list is cut, and the number of the runs left out follows as `+N`.
 class run_list_text
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -16,6 +16,14 @@
          {"run", std::to_string(decision.run)},
          {"worker", decision.worker.str()},
          {"resumes", decision.checkpoint.empty() ? "no" : "yes"}}};
+    if (const worker_entry* worker = workers_.find(decision.worker))
+    {
+        started.fields.emplace_back("used", text_of(worker->used));
+        started.fields.emplace_back(
+            "capacity", text_of(worker->registration.capacity));
+        started.fields.emplace_back(
+            "incarnation", std::to_string(worker->registration.incarnation));
+    }
     if (decision.worker_limit > 0)
     {
         started.fields.emplace_back(
