--- a/tests/fleet/replaced_owner_test.cpp
+++ b/tests/fleet/replaced_owner_test.cpp
@@ -303,3 +303,39 @@
     world.run(12s);
     CHECK(world.workers.running() == 2);
 }
+
+// Guards against a task that runs twice: a late status poll of the previous
+// owner extends the lease of a worker that has restarted. The new owner seals
+// the worker afterwards and counts only its own lease there.
+TEST_CASE(
+    "a new owner counts leases that a restarted worker took before it was "
+    "sealed",
+    "[fleet][known-red]")
+{
+    const int phase = GENERATE(range(0, 1'000, 250));
+    CAPTURE(phase);
+    fleet_world world(2, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{60s, false};
+    };
+    world.submit("a", {tasks(1)});
+    world.run(20s + milliseconds(phase));
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).late = 4s;
+    world.run(1'100ms); // The next poll is carried out late.
+    world.workers.faults_of(worker).late = 0ms;
+    world.run(1'700ms);
+    world.owner_vm()->kill();
+    world.restart_worker("w0", 16, 0ms);
+    while (world.starts_of("a").size() < 2)
+    {
+        world.run(1ms);
+    }
+    world.run(50ms);
+    world.workers.faults_of(worker).silent = true;
+    world.add_worker("w1");
+    world.run(25s);
+    CHECK(world.starts_of("a").size() == 3);
+    CHECK(world.broken_promises().empty());
+}
