--- a/tests/fleet/replaced_owner_test.cpp
+++ b/tests/fleet/replaced_owner_test.cpp
@@ -339,3 +339,38 @@
     CHECK(world.starts_of("a").size() == 3);
     CHECK(world.broken_promises().empty());
 }
+
+// Guards against a task that runs twice: a restarted worker took a lease on the
+// clock of its earlier incarnation before it was sealed. Its owner knows that
+// and ends; the successor does not reach the worker and waits for one lease.
+TEST_CASE(
+    "a new owner waits for the longest lease of a worker that restarted",
+    "[fleet][known-red]")
+{
+    const int phase = GENERATE(range(0, 1'000, 250));
+    CAPTURE(phase);
+    fleet_world world(2, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{60s, false};
+    };
+    world.submit("a", {tasks(1)});
+    world.run(20s);
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).late = 4s;
+    world.run(1'100ms); // The next poll is carried out late.
+    world.workers.faults_of(worker).late = 0ms;
+    world.run(2s + milliseconds(phase));
+    world.restart_worker("w0", 16, 0ms);
+    while (world.starts_of("a").size() < 2)
+    {
+        world.run(1ms);
+    }
+    world.run(50ms);
+    world.workers.faults_of(worker).silent = true;
+    world.owner_vm()->kill();
+    world.add_worker("w1");
+    world.run(25s);
+    CHECK(world.starts_of("a").size() == 3);
+    CHECK(world.broken_promises().empty());
+}
