--- a/tests/fleet/replaced_owner_test.cpp
+++ b/tests/fleet/replaced_owner_test.cpp
@@ -374,3 +374,40 @@
     CHECK(world.starts_of("a").size() == 3);
     CHECK(world.broken_promises().empty());
 }
+
+// Guards against a task that runs twice: a start order reaches a restarted
+// worker, which is lost before it answers. The owner counts its own lease, and
+// the run has one on the clock of the earlier incarnation.
+TEST_CASE(
+    "a start that a restarted worker takes without an answer is not outlived "
+    "by its run",
+    "[fleet][known-red]")
+{
+    const milliseconds registers_after = GENERATE(50ms, 3s, 60s);
+    CAPTURE(registers_after.count());
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{30s, false};
+    };
+    world.run(20s);
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).order_transit = 100ms;
+    world.workers.faults_of(worker).losing_answers = true;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::run_started) == 0)
+    {
+        world.run(1ms);
+    }
+    world.run(50ms);
+    world.restart_worker("w0", 16, registers_after);
+    world.add_worker("w1");
+    while (world.starts_of("a").empty())
+    {
+        world.run(1ms);
+    }
+    world.workers.faults_of(worker).silent = true;
+    world.run(25s);
+    CHECK(world.starts_of("a").size() >= 2);
+    CHECK(world.broken_promises().empty());
+}
