--- a/tests/fleet/replaced_owner_test.cpp
+++ b/tests/fleet/replaced_owner_test.cpp
@@ -411,3 +411,43 @@
     CHECK(world.starts_of("a").size() >= 2);
     CHECK(world.broken_promises().empty());
 }
+
+// Guards against a task that runs twice: a report of the earlier incarnation
+// arrives after a start order was sent, and the later incarnation takes the
+// order. The clock in its answer went back, but counts as overtaken.
+TEST_CASE(
+    "a clock that went back tells of a restart after a later report too",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{30s, false};
+    };
+    world.run(15s);
+    world.submit("b", {tasks(1)});
+    world.run(5s);
+    REQUIRE(world.starts_of("b").size() == 1);
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).order_transit = 100ms;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::run_started) == 1)
+    {
+        world.run(1ms);
+    }
+    world.run(60ms);
+    // Its end answers the poll in flight.
+    world.workers.end_runs(
+        world.starts_of("b").front().task, fleet::run_end::done);
+    world.run(10ms);
+    world.restart_worker("w0", 16, 3s);
+    world.add_worker("w1");
+    while (world.starts_of("a").empty())
+    {
+        world.run(1ms);
+    }
+    world.workers.faults_of(worker).silent = true;
+    world.run(25s);
+    CHECK(world.starts_of("a").size() >= 2);
+    CHECK(world.broken_promises().empty());
+}
