--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -547,3 +547,42 @@
     world.run(2s);
     CHECK(world.events.count(event_number::run_reappeared) == 1);
 }
+
+// Guards against a task that runs twice: an order without an answer is carried
+// out after its run is over, by a worker that has just restarted and has not
+// been polled since.
+TEST_CASE(
+    "a late order that a restarted worker takes before its first poll starts "
+    "no second run",
+    "[fleet][known-red]")
+{
+    const milliseconds gap = GENERATE(10ms, 50ms, 150ms);
+    CAPTURE(gap.count());
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.run(500ms);
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).late = 4s;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::run_started) == 0)
+    {
+        world.run(1ms);
+    }
+    const instant carried_out = world.clock.now() + 4s;
+    world.run(500ms); // The order is sent a second time.
+    world.workers.faults_of(worker).late = 0ms;
+    world.add_worker("w1");
+    world.workers.faults_of(worker).unhealthy = true;
+    while (world.starts_of("a").empty())
+    {
+        world.run(1ms);
+    }
+    REQUIRE(world.starts_of("a").front().worker == worker_id("w1"));
+    world.run(carried_out - gap - world.clock.now());
+    world.restart_worker("w0");
+    world.run(10s);
+    CHECK(world.broken_promises().empty());
+}
