--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -586,3 +586,53 @@
     world.run(10s);
     CHECK(world.broken_promises().empty());
 }
+
+// Guards against a task that runs again after it was done: the first status
+// poll that reaches a restarted worker carries the number of an end that the
+// earlier incarnation listed, and the worker drops an end that nobody has seen.
+TEST_CASE(
+    "a poll to a worker that was out of reach drops no ends of a later "
+    "incarnation",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref& task)
+    {
+        return standin::task_behaviour{
+            task.step.job == job_id("a") ? 500ms : 30s, false};
+    };
+    const worker_id worker("w0");
+    world.submit("b", {tasks(1, 16)});
+    world.run(1s);
+    world.submit("a", {tasks(1, 16)}); // Starts once the other has ended.
+    world.run(1s);
+    REQUIRE(world.starts_of("b").size() == 1);
+    world.owner_vm()->orders.before_start = [&](const fleet::worker_address&)
+    {
+        auto& faults = world.workers.faults_of(worker);
+        faults.order_transit = 200ms;
+        faults.losing_answers = true;
+    };
+    world.store.mode = standin::store_mode::silent;
+    world.workers.end_runs(
+        world.starts_of("b").front().task, fleet::run_end::done);
+    while (world.events.count(event_number::run_started) == 1)
+    {
+        world.run(1ms);
+    }
+    world.owner_vm()->orders.before_start = nullptr;
+    world.run(20ms);
+    world.restart_worker("w0", 16, 5s);
+    world.workers.faults_of(worker).silent = true;
+    world.run(800ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    REQUIRE(world.workers.running() == 0);
+    world.store.mode = standin::store_mode::healthy;
+    world.run(700ms);
+    world.workers.faults_of(worker).silent = false;
+    world.run(10s);
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.view("a").state == job_state::completed);
+    CHECK(world.broken_promises().empty());
+}
