--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -83,11 +83,14 @@
                                   : settings_.status_poll_wait;
     worker.next_hold =
         now + (unsettled ? settings_.worker_retry_delay : milliseconds::zero());
-    // A number that the worker has confirmed is not sent again: a worker that
-    // has restarted under its id would drop ends that nobody has seen.
+    // A worker that has restarted under its id would drop ends that nobody has
+    // seen. So no number is sent again once the worker has confirmed it, nor
+    // before a worker that was out of reach has reported.
+    const bool may_acknowledge = worker.reachable && worker.sealed;
     const std::uint64_t acknowledged =
-        worker.acknowledged > worker.acknowledgement_sent ? worker.acknowledged
-                                                          : 0;
+        may_acknowledge && worker.acknowledged > worker.acknowledgement_sent
+            ? worker.acknowledged
+            : 0;
     const std::uint64_t token = token_of(worker);
     ports_.metrics.count("fleet_holds", "", 1);
     ports_.orders.hold(
@@ -273,9 +276,13 @@
 void fleet_owner::seal(worker_entry& worker, const worker_status& status)
 {
     worker.sealed = true;
-    if (worker.seal_token > 0)
+    // Calls for an earlier incarnation are rejected from now on. One of an
+    // earlier owner may have arrived if the present incarnation is so young.
+    const bool may_have_foreign_lease =
+        token_ > first_token &&
+        status.clock.time_since_epoch() < unsettled_order_table::longest_delay;
+    if (worker.seal_token > 0 || may_have_foreign_lease)
     {
-        // Calls for the earlier incarnation are rejected from now on.
         worker.foreign_lease_expired_at = longest_lease_end(ports_.clock.now());
     }
     ports_.events.emit(
--- a/tests/fleet/replaced_owner_test.cpp
+++ b/tests/fleet/replaced_owner_test.cpp
@@ -303,3 +303,151 @@
     world.run(12s);
     CHECK(world.workers.running() == 2);
 }
+
+// Guards against a task that runs twice: a late status poll of the previous
+// owner extends the lease of a worker that has restarted. The new owner seals
+// the worker afterwards and counts only its own lease there.
+TEST_CASE(
+    "a new owner counts leases that a restarted worker took before it was "
+    "sealed",
+    "[fleet]")
+{
+    const int phase = GENERATE(range(0, 1'000, 250));
+    CAPTURE(phase);
+    fleet_world world(2, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{60s, false};
+    };
+    world.submit("a", {tasks(1)});
+    world.run(20s + milliseconds(phase));
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).late = 4s;
+    world.run(1'100ms); // The next poll is carried out late.
+    world.workers.faults_of(worker).late = 0ms;
+    world.run(1'700ms);
+    world.owner_vm()->kill();
+    world.restart_worker("w0", 16, 0ms);
+    while (world.starts_of("a").size() < 2)
+    {
+        world.run(1ms);
+    }
+    world.run(50ms);
+    world.workers.faults_of(worker).silent = true;
+    world.add_worker("w1");
+    world.run(25s);
+    CHECK(world.starts_of("a").size() == 3);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: a restarted worker took a lease on the
+// clock of its earlier incarnation before it was sealed. Its owner knows that
+// and ends; the successor does not reach the worker and waits for one lease.
+TEST_CASE(
+    "a new owner waits for the longest lease of a worker that restarted",
+    "[fleet][known-red]")
+{
+    const int phase = GENERATE(range(0, 1'000, 250));
+    CAPTURE(phase);
+    fleet_world world(2, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{60s, false};
+    };
+    world.submit("a", {tasks(1)});
+    world.run(20s);
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).late = 4s;
+    world.run(1'100ms); // The next poll is carried out late.
+    world.workers.faults_of(worker).late = 0ms;
+    world.run(2s + milliseconds(phase));
+    world.restart_worker("w0", 16, 0ms);
+    while (world.starts_of("a").size() < 2)
+    {
+        world.run(1ms);
+    }
+    world.run(50ms);
+    world.workers.faults_of(worker).silent = true;
+    world.owner_vm()->kill();
+    world.add_worker("w1");
+    world.run(25s);
+    CHECK(world.starts_of("a").size() == 3);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: a start order reaches a restarted
+// worker, which is lost before it answers. The owner counts its own lease, and
+// the run has one on the clock of the earlier incarnation.
+TEST_CASE(
+    "a start that a restarted worker takes without an answer is not outlived "
+    "by its run",
+    "[fleet][known-red]")
+{
+    const milliseconds registers_after = GENERATE(50ms, 3s, 60s);
+    CAPTURE(registers_after.count());
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{30s, false};
+    };
+    world.run(20s);
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).order_transit = 100ms;
+    world.workers.faults_of(worker).losing_answers = true;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::run_started) == 0)
+    {
+        world.run(1ms);
+    }
+    world.run(50ms);
+    world.restart_worker("w0", 16, registers_after);
+    world.add_worker("w1");
+    while (world.starts_of("a").empty())
+    {
+        world.run(1ms);
+    }
+    world.workers.faults_of(worker).silent = true;
+    world.run(25s);
+    CHECK(world.starts_of("a").size() >= 2);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that runs twice: a report of the earlier incarnation
+// arrives after a start order was sent, and the later incarnation takes the
+// order. The clock in its answer went back, but counts as overtaken.
+TEST_CASE(
+    "a clock that went back tells of a restart after a later report too",
+    "[fleet]")
+{
+    fleet_world world(1, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{30s, false};
+    };
+    world.run(15s);
+    world.submit("b", {tasks(1)});
+    world.run(5s);
+    REQUIRE(world.starts_of("b").size() == 1);
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).order_transit = 100ms;
+    world.submit("a", {tasks(1)});
+    while (world.events.count(event_number::run_started) == 1)
+    {
+        world.run(1ms);
+    }
+    world.run(60ms);
+    // Its end answers the poll in flight.
+    world.workers.end_runs(
+        world.starts_of("b").front().task, fleet::run_end::done);
+    world.run(10ms);
+    world.restart_worker("w0", 16, 3s);
+    world.add_worker("w1");
+    while (world.starts_of("a").empty())
+    {
+        world.run(1ms);
+    }
+    world.workers.faults_of(worker).silent = true;
+    world.run(25s);
+    CHECK(world.starts_of("a").size() >= 2);
+    CHECK(world.broken_promises().empty());
+}
