--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -125,6 +125,27 @@
     CHECK(world.workers.running() == 2);
 }
 
+// Guards against starts over a worker's capacity: an idle worker had restarted
+// with fewer resources, and took the orders that were decided by the capacity
+// of its earlier incarnation, as no call in flight had told of the restart.
+TEST_CASE(
+    "an idle worker that restarted takes no order for its earlier incarnation",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.run(500ms);
+    world.restart_worker("w0", 8, 1s);
+    world.submit("a", {tasks(4, 4)});
+    world.run(900ms);
+    CHECK(world.workers.running() == 0);
+    world.run(1s);
+    CHECK(world.broken_promises().empty());
+    CHECK(world.workers.running() == 2);
+}
+
 // Guards against an account over its cap after a take-over: the new owner did
 // not count what may run on workers that it has not heard from yet.
 TEST_CASE(
