--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,11 +1,13 @@
 #include "net/http_client.hpp"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -23,6 +25,17 @@
 /// Maximum size of a response header.
 constexpr std::uint32_t header_limit_bytes = 16U << 10U;
 
+/// Sets what HTTP asks for in each request.
+void complete(http_request& request, const endpoint& target)
+{
+    request.version(11);
+    if (request.find(http::field::host) == request.end())
+    {
+        request.set(http::field::host, target.str());
+    }
+    request.prepare_payload();
+}
+
 } // namespace
 
 /// One keep-alive connection.
@@ -40,6 +53,7 @@
     tcp::socket socket;
     beast::flat_buffer buffer;
     instant idle_since{};
+    std::uint64_t peer = 0; ///< Identity of the process; zero if not known.
 };
 
 /// State of one call.
@@ -47,8 +61,10 @@
 {
     endpoint target;
     http_request request;
+    http_request introduction; ///< Empty unless it is sent.
     bool repeatable = false;
     completion done;
+    peer_check check;
     connection_ptr conn;
     std::optional<http::response_parser<http::string_body>> parser;
     timer_service::timer_id timer = 0;
@@ -73,19 +89,15 @@
     http_request request,
     milliseconds timeout,
     bool repeatable,
-    completion done)
+    completion done,
+    peer_check check)
 {
     ++counts_.calls;
     auto call_state = std::make_shared<exchange>();
     call_state->target = target;
     call_state->request = std::move(request);
-    call_state->request.version(11);
-    if (call_state->request.find(http::field::host) ==
-        call_state->request.end())
-    {
-        call_state->request.set(http::field::host, target.str());
-    }
-    call_state->request.prepare_payload();
+    complete(call_state->request, target);
+    call_state->check = std::move(check);
     call_state->repeatable = repeatable;
     call_state->done = std::move(done);
     call_state->timer =
@@ -93,25 +105,46 @@
     start(call_state, false);
 }
 
-http_client::connection_ptr http_client::take_idle(const endpoint& target)
+http_client::connection_ptr
+http_client::take_idle(const endpoint& target, std::uint64_t required)
 {
     const auto at = idle_.find(target);
     if (at == idle_.end())
     {
         return nullptr;
     }
+    auto& kept = at->second;
     const instant oldest = timers_.now() - settings_.idle_limit;
-    while (!at->second.empty())
-    {
-        connection_ptr found = std::move(at->second.back());
-        at->second.pop_back();
-        if (found->idle_since >= oldest && found->socket.is_open())
+    std::erase_if(
+        kept,
+        [&](const connection_ptr& each)
         {
-            return found;
-        }
-        found->close();
+            const bool other =
+                required != 0 && each->peer != 0 && each->peer != required;
+            const bool usable =
+                !other && each->idle_since >= oldest && each->socket.is_open();
+            if (!usable)
+            {
+                each->close();
+            }
+            return !usable;
+        });
+    if (kept.empty())
+    {
+        return nullptr;
+    }
+    // One to the required process needs no introduction.
+    auto found = std::find_if(
+        kept.rbegin(),
+        kept.rend(),
+        [&](const connection_ptr& each) { return each->peer == required; });
+    if (required == 0 || found == kept.rend())
+    {
+        found = kept.rbegin();
     }
-    return nullptr;
+    connection_ptr taken = std::move(*found);
+    kept.erase(std::next(found).base());
+    return taken;
 }
 
 void http_client::return_to_pool(const endpoint& target, connection_ptr idle)
@@ -126,68 +159,15 @@
     }
 }
 
-void http_client::start(std::shared_ptr<exchange> call_state, bool fresh)
+void http_client::start(const exchange_ptr& call_state, bool fresh)
 {
-    auto send = [this, call_state]
-    {
-        call_state->sent = true;
-        auto received = [this, call_state](error_code failed, std::size_t)
-        {
-            if (call_state->finished)
-            {
-                return;
-            }
-            if (!failed)
-            {
-                http_outcome outcome;
-                outcome.effect = verdict::ran;
-                outcome.response = call_state->parser->release();
-                if (outcome.response.keep_alive())
-                {
-                    return_to_pool(call_state->target, call_state->conn);
-                }
-                else
-                {
-                    call_state->conn->close();
-                }
-                finish(call_state, std::move(outcome));
-                return;
-            }
-            call_state->conn->close();
-            if (call_state->reused && call_state->repeatable)
-            {
-                call_state->unanswered_copy = true;
-                start(call_state, true);
-                return;
-            }
-            finish(call_state, {verdict::may_have_run, {}, failed.message()});
-        };
-        auto written =
-            [this, call_state, received](error_code failed, std::size_t)
-        {
-            if (failed)
-            {
-                received(failed, 0);
-                return;
-            }
-            call_state->parser.emplace();
-            call_state->parser->body_limit(settings_.body_limit);
-            call_state->parser->header_limit(header_limit_bytes);
-            http::async_read(
-                call_state->conn->socket,
-                call_state->conn->buffer,
-                *call_state->parser,
-                received);
-        };
-        http::async_write(
-            call_state->conn->socket, call_state->request, written);
-    };
-
-    call_state->conn = fresh ? nullptr : take_idle(call_state->target);
+    call_state->conn =
+        fresh ? nullptr
+              : take_idle(call_state->target, call_state->check.required);
     call_state->reused = call_state->conn != nullptr;
     if (call_state->reused)
     {
-        send();
+        proceed(call_state);
         return;
     }
     ++counts_.connects;
@@ -199,16 +179,13 @@
     {
         boost::asio::post(
             loop_,
-            [this, call_state, invalid_address] {
-                finish(
-                    call_state,
-                    {verdict::not_run, {}, invalid_address.message()});
-            });
+            [this, call_state, invalid_address]
+            { finish_unanswered(call_state, invalid_address.message()); });
         return;
     }
     call_state->conn->socket.async_connect(
         tcp::endpoint(address, call_state->target.port),
-        [this, call_state, send](error_code failed)
+        [this, call_state](error_code failed)
         {
             if (call_state->finished)
             {
@@ -217,19 +194,152 @@
             if (failed)
             {
                 call_state->conn->close();
-                const verdict effect =
-                    call_state->sent ? verdict::may_have_run : verdict::not_run;
-                finish(call_state, {effect, {}, failed.message()});
+                finish_unanswered(call_state, failed.message());
                 return;
             }
             error_code ignored; // Without this option only latency suffers.
             call_state->conn->socket.set_option(tcp::no_delay(true), ignored);
-            send();
+            proceed(call_state);
         });
 }
 
-void http_client::finish(
-    const std::shared_ptr<exchange>& call_state, http_outcome outcome)
+void http_client::proceed(const exchange_ptr& call_state)
+{
+    const std::uint64_t required = call_state->check.required;
+    if (required != 0 && call_state->conn->peer != required)
+    {
+        introduce(call_state);
+        return;
+    }
+    send_request(call_state);
+}
+
+void http_client::introduce(const exchange_ptr& call_state)
+{
+    ++counts_.introductions;
+    auto received = [this, call_state](error_code failed)
+    {
+        if (failed)
+        {
+            call_state->conn->close();
+            if (call_state->reused)
+            {
+                start(call_state, true);
+                return;
+            }
+            finish_unanswered(call_state, failed.message());
+            return;
+        }
+        http_response response = call_state->parser->release();
+        const peer_check& check = call_state->check;
+        const bool refused = response.result() != http::status::ok;
+        const std::uint64_t peer =
+            refused ? 0 : check.introduction_identity(response);
+        call_state->conn->peer = peer;
+        if (peer == check.required && response.keep_alive())
+        {
+            send_request(call_state);
+            return;
+        }
+        release(call_state, response);
+        http_outcome outcome;
+        outcome.effect =
+            call_state->sent ? verdict::may_have_run : verdict::not_run;
+        outcome.other_peer = peer != 0 && peer != check.required;
+        outcome.introduction_refused = refused;
+        outcome.failure = refused              ? "the introduction was refused"
+                          : outcome.other_peer ? "another process answered"
+                          : peer == 0 ? "the process did not tell its identity"
+                                      : "the peer keeps no connection";
+        if (refused)
+        {
+            outcome.response = std::move(response);
+        }
+        finish(call_state, std::move(outcome));
+    };
+    call_state->introduction = call_state->check.introduction();
+    complete(call_state->introduction, call_state->target);
+    transfer(call_state, call_state->introduction, received);
+}
+
+void http_client::send_request(const exchange_ptr& call_state)
+{
+    call_state->sent = true;
+    auto received = [this, call_state](error_code failed)
+    {
+        if (!failed)
+        {
+            http_outcome outcome;
+            outcome.effect = verdict::ran;
+            outcome.response = call_state->parser->release();
+            const auto& identity = call_state->check.response_identity;
+            const std::uint64_t peer =
+                identity ? identity(outcome.response) : 0;
+            if (peer != 0)
+            {
+                call_state->conn->peer = peer;
+            }
+            release(call_state, outcome.response);
+            finish(call_state, std::move(outcome));
+            return;
+        }
+        call_state->conn->close();
+        if (call_state->reused && call_state->repeatable)
+        {
+            call_state->unanswered_copy = true;
+            start(call_state, true);
+            return;
+        }
+        finish_unanswered(call_state, failed.message());
+    };
+    transfer(call_state, call_state->request, received);
+}
+
+void http_client::transfer(
+    const exchange_ptr& call_state,
+    const http_request& message,
+    transfer_end done)
+{
+    auto received = [call_state, done](error_code failed, std::size_t)
+    {
+        if (!call_state->finished)
+        {
+            done(failed);
+        }
+    };
+    auto written = [this, call_state, received](error_code failed, std::size_t)
+    {
+        if (failed)
+        {
+            received(failed, 0);
+            return;
+        }
+        call_state->parser.emplace();
+        call_state->parser->body_limit(settings_.body_limit);
+        call_state->parser->header_limit(header_limit_bytes);
+        http::async_read(
+            call_state->conn->socket,
+            call_state->conn->buffer,
+            *call_state->parser,
+            received);
+    };
+    http::async_write(call_state->conn->socket, message, written);
+}
+
+void http_client::release(
+    const exchange_ptr& call_state, const http_response& response)
+{
+    if (response.keep_alive())
+    {
+        return_to_pool(call_state->target, call_state->conn);
+    }
+    else
+    {
+        call_state->conn->close();
+    }
+}
+
+void http_client::finish(const exchange_ptr& call_state, http_outcome outcome)
 {
     if (call_state->finished)
     {
@@ -243,7 +353,17 @@
     done(std::move(outcome));
 }
 
-void http_client::expire(const std::shared_ptr<exchange>& call_state)
+void http_client::finish_unanswered(
+    const exchange_ptr& call_state, std::string failure)
+{
+    http_outcome outcome;
+    outcome.effect =
+        call_state->sent ? verdict::may_have_run : verdict::not_run;
+    outcome.failure = std::move(failure);
+    finish(call_state, std::move(outcome));
+}
+
+void http_client::expire(const exchange_ptr& call_state)
 {
     if (call_state->finished)
     {
@@ -259,12 +379,16 @@
         idle->close();
     }
     idle_.erase(call_state->target);
-    const verdict effect =
-        call_state->sent ? verdict::may_have_run : verdict::not_run;
     // Keep `call_state->conn`: pending socket handlers still use it.
     call_state->finished = true;
+    http_outcome outcome;
+    outcome.effect =
+        call_state->sent ? verdict::may_have_run : verdict::not_run;
+    outcome.failure = "timeout";
+    outcome.timed_out = true;
+    outcome.unanswered_copy = call_state->unanswered_copy;
     completion done = std::move(call_state->done);
-    done({effect, {}, "timeout", true, call_state->unanswered_copy});
+    done(std::move(outcome));
 }
 
 } // namespace acaciastile::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <boost/asio/io_context.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -31,6 +32,7 @@
     std::uint64_t calls = 0;
     std::uint64_t connects = 0; ///< New connections.
     std::uint64_t timeouts = 0;
+    std::uint64_t introductions = 0; ///< See `peer_check`.
 };
 
 /// HTTP client with pooled keep-alive connections. Runs on the event loop's
@@ -55,13 +57,16 @@
     /// destroyed first. If a pooled connection fails, for example because the
     /// peer closed it while it was idle, and `repeatable` says that the request
     /// may be executed twice, it is sent again on a new connection. The outcome
-    /// says so: `http_outcome::unanswered_copy`.
+    /// says so: `http_outcome::unanswered_copy`. `check` names the process that
+    /// the request is meant for, also for that repetition; the timeout covers
+    /// the introduction as well.
     void call(
         const endpoint& target,
         http_request request,
         milliseconds timeout,
         bool repeatable,
-        completion done);
+        completion done,
+        peer_check check = {});
 
     [[nodiscard]] const http_client_counts& counts() const noexcept
     {
@@ -73,12 +78,30 @@
     struct exchange;
     using connection_ptr = std::shared_ptr<connection>;
 
-    void start(std::shared_ptr<exchange> call_state, bool fresh);
-    void
-    finish(const std::shared_ptr<exchange>& call_state, http_outcome outcome);
-    void expire(const std::shared_ptr<exchange>& call_state);
+    using exchange_ptr = std::shared_ptr<exchange>;
+    using transfer_end = std::function<void(boost::system::error_code)>;
+
+    /// Gets a connection, a new one if `fresh`, and sends what is due on it.
+    void start(const exchange_ptr& call_state, bool fresh);
+    /// Sends the introduction if the connection needs one, else the request.
+    void proceed(const exchange_ptr& call_state);
+    void introduce(const exchange_ptr& call_state);
+    void send_request(const exchange_ptr& call_state);
+    /// Sends `message`, a part of `call_state`, and reads the response into its
+    /// parser. `done` does not run once the call is finished.
+    void transfer(
+        const exchange_ptr& call_state,
+        const http_request& message,
+        transfer_end done);
+    void finish(const exchange_ptr& call_state, http_outcome outcome);
+    /// As above, for a call whose request got no response.
+    void finish_unanswered(const exchange_ptr& call_state, std::string failure);
+    void expire(const exchange_ptr& call_state);
+    /// Keeps the connection if the peer does, else closes it.
+    void release(const exchange_ptr& call_state, const http_response& response);
     void return_to_pool(const endpoint& target, connection_ptr idle);
-    connection_ptr take_idle(const endpoint& target);
+    /// An idle connection to the required process, or to one that is not known.
+    connection_ptr take_idle(const endpoint& target, std::uint64_t required);
 
     boost::asio::io_context& loop_;
     timer_service& timers_;
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -4,6 +4,8 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -39,20 +41,27 @@
     [[nodiscard]] static std::optional<endpoint> parse(std::string_view text);
 };
 
-/// The outcome of one call. `effect` is `not_run` if nothing was sent,
-/// `may_have_run` if the request was sent but no complete response arrived, and
-/// `ran` if `response` is valid.
+/// The outcome of one call. `effect` is `not_run` if the request was not sent,
+/// `may_have_run` if it was sent but no complete response arrived, and `ran` if
+/// `response` is that to the request.
 struct http_outcome
 {
     verdict effect = verdict::not_run;
     http_response response;
-    std::string failure; ///< Reason if there is no response.
+    std::string failure; ///< Reason if there is no response to the request.
     bool timed_out = false;
     /// The request was also sent before, on a pooled connection that broke, and
     /// that copy got no response. It may have run or may run later, whatever
     /// `effect` and `response` say of the copy that was sent last.
     bool unanswered_copy = false;
+    /// The request was not sent, as the process at the endpoint is not the one
+    /// that it was meant for; see `peer_check`.
+    bool other_peer = false;
+    /// The request was not sent, as the introduction was answered with a status
+    /// other than 200. `response` is that answer.
+    bool introduction_refused = false;
 
+    /// True if `response` is that to the request.
     [[nodiscard]] bool answered() const noexcept
     {
         return effect == verdict::ran;
@@ -63,4 +72,28 @@
     }
 };
 
+/// Names the process that a request is meant for. A process that restarted at
+/// the same endpoint is another one. A connection does not outlive the process
+/// at its other end, so what is sent on it never reaches a later one. The
+/// client notes for each connection which process has answered there.
+struct peer_check
+{
+    /// Reads the identity of the process that sent a response; zero if the
+    /// response does not tell it.
+    using identity_reader = std::function<std::uint64_t(const http_response&)>;
+
+    /// The request is sent only on a connection on which this process has
+    /// answered. Zero: on any.
+    std::uint64_t required = 0;
+    /// Makes a request that is sent before the other one on a connection whose
+    /// process is not known, if one is required. It must do no harm in any
+    /// process at the endpoint.
+    std::function<http_request()> introduction;
+    /// Reads the identity from a response to the introduction of status 200.
+    identity_reader introduction_identity;
+    /// Reads the identity from a response to the request, of any status. May be
+    /// empty.
+    identity_reader response_identity;
+};
+
 } // namespace acaciastile::net
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -178,6 +178,210 @@
     CHECK(outcome.unanswered_copy);
 }
 
+namespace
+{
+
+/// A server that tells its identity in answer to `hello`, and a client whose
+/// requests are meant for one identity.
+struct peer_fixture : fixture
+{
+    std::uint64_t identity = 1;
+    std::vector<std::string> received; ///< Bodies, with those of `hello`.
+
+    peer_fixture()
+    {
+        handler = [this](const http_request& request, http_responder respond)
+        {
+            received.push_back(request.body());
+            answer(request, std::move(respond));
+        };
+        listen();
+    }
+
+    http_handler answer =
+        [this](const http_request& request, const http_responder& respond)
+    {
+        http_response response;
+        response.body() =
+            request.body() == "hello" ? std::to_string(identity) : "done";
+        respond(response);
+    };
+
+    /// Another process takes the server's place.
+    void restart()
+    {
+        ++identity;
+        server.reset();
+        listen();
+    }
+
+    http_outcome
+    call_to(std::uint64_t required, std::string body, milliseconds timeout = 2s)
+    {
+        std::optional<http_outcome> outcome;
+        http_request request{http::verb::post, "/", 11};
+        request.body() = std::move(body);
+        peer_check check;
+        check.required = required;
+        check.introduction = []
+        {
+            http_request hello{http::verb::post, "/", 11};
+            hello.body() = "hello";
+            return hello;
+        };
+        const auto read = [](const http_response& response) -> std::uint64_t
+        {
+            return response.body() == "done" || response.body().empty()
+                       ? 0
+                       : std::stoull(response.body());
+        };
+        check.introduction_identity = read;
+        check.response_identity = read;
+        constexpr bool repeatable = true;
+        client.call(
+            address,
+            request,
+            timeout,
+            repeatable,
+            [&](http_outcome told) { outcome = std::move(told); },
+            std::move(check));
+        while (!outcome)
+        {
+            loop.run_one();
+        }
+        return *std::move(outcome);
+    }
+};
+
+using bodies = std::vector<std::string>;
+
+} // namespace
+
+// Guards against an order that reaches a process which it was not meant for.
+TEST_CASE("a request is sent only to the process that it requires", "[net]")
+{
+    peer_fixture at;
+    const http_outcome refused = at.call_to(7, "order");
+    CHECK(refused.other_peer);
+    CHECK(refused.effect == verdict::not_run);
+    CHECK_FALSE(refused.unanswered_copy);
+    CHECK(at.received == bodies{"hello"});
+    // The answer told who the process is.
+    CHECK(at.call_to(1, "order").response.body() == "done");
+    CHECK(at.received == bodies{"hello", "order"});
+    CHECK(at.client.counts().connects == 1);
+}
+
+// As above: a copy that is sent again after a pooled connection broke.
+TEST_CASE("a repeated request reaches no later process", "[net]")
+{
+    peer_fixture at;
+    REQUIRE(at.call_to(1, "first").answered());
+    at.restart();
+    const http_outcome refused = at.call_to(1, "order");
+    CHECK(refused.other_peer);
+    CHECK(refused.unanswered_copy);
+    CHECK(refused.effect == verdict::may_have_run);
+    CHECK(at.received == bodies{"hello", "first", "hello"});
+    // Without the restart of the process the copy is sent.
+    REQUIRE(at.call_to(2, "second").answered());
+    at.server.reset();
+    at.listen();
+    const http_outcome repeated = at.call_to(2, "third");
+    CHECK(repeated.answered());
+    CHECK(repeated.unanswered_copy);
+    CHECK(
+        at.received ==
+        bodies{"hello", "first", "hello", "second", "hello", "third"});
+}
+
+// Guards against the price of calls that are not needed.
+TEST_CASE("a response to any request may tell the process", "[net]")
+{
+    peer_fixture at;
+    REQUIRE(at.call_to(0, "hello").answered());
+    REQUIRE(at.call_to(1, "order").answered());
+    REQUIRE(at.call_to(1, "order").answered());
+    CHECK(at.received == bodies{"hello", "order", "order"});
+    CHECK(at.client.counts().introductions == 0);
+    CHECK(at.client.counts().connects == 1);
+}
+
+// Guards against connections to an earlier process that are kept.
+TEST_CASE("an idle connection to another process is closed", "[net]")
+{
+    peer_fixture at;
+    REQUIRE(at.call_to(1, "order").answered());
+    at.identity = 2; // As if the connection led to an earlier process.
+    CHECK(at.call_to(2, "order").answered());
+    CHECK(at.client.counts().connects == 2);
+    CHECK(at.received == bodies{"hello", "order", "hello", "order"});
+}
+
+// Guards against a call that fails as the peer closed an idle connection on
+// which nobody had told the identity.
+TEST_CASE("an introduction is sent again on a new connection", "[net]")
+{
+    peer_fixture at;
+    REQUIRE(at.call_to(0, "plain").answered());
+    at.server.reset();
+    at.listen();
+    const http_outcome outcome = at.call_to(1, "order");
+    CHECK(outcome.answered());
+    CHECK_FALSE(outcome.unanswered_copy);
+    CHECK(at.client.counts().introductions == 2);
+    CHECK(at.received == bodies{"plain", "hello", "order"});
+}
+
+// Guards against a refusal that does not reach the caller.
+TEST_CASE("a refused introduction is the outcome of the call", "[net]")
+{
+    peer_fixture at;
+    at.answer = [](const http_request&, const http_responder& respond)
+    {
+        http_response refusal;
+        refusal.result(http::status::conflict);
+        refusal.body() = "reason";
+        respond(refusal);
+    };
+    const http_outcome outcome = at.call_to(1, "order");
+    CHECK(outcome.introduction_refused);
+    CHECK(outcome.response.result_int() == 409);
+    CHECK(outcome.response.body() == "reason");
+    CHECK(outcome.effect == verdict::not_run);
+    CHECK_FALSE(outcome.other_peer);
+    CHECK_FALSE(outcome.answered());
+    CHECK(at.received == bodies{"hello"});
+}
+
+// Guards against a caller that waits for the effect of a request that was never
+// sent, and against one that does not where it was.
+TEST_CASE("a timeout tells whether the request itself was sent", "[net]")
+{
+    peer_fixture at;
+    const bool introduced = GENERATE(false, true);
+    CAPTURE(introduced);
+    std::vector<http_responder> held;
+    at.answer = [&](const http_request& request, http_responder respond)
+    {
+        if (introduced && request.body() == "hello")
+        {
+            http_response response;
+            response.body() = "1";
+            respond(response);
+            return;
+        }
+        held.push_back(std::move(respond));
+    };
+    const http_outcome outcome = at.call_to(1, "order", 100ms);
+    CHECK(outcome.timed_out);
+    CHECK(held.size() == 1);
+    CHECK(
+        outcome.effect ==
+        (introduced ? verdict::may_have_run : verdict::not_run));
+    CHECK_FALSE(outcome.other_peer);
+}
+
 TEST_CASE("a request body over the limit is rejected", "[net]")
 {
     fixture at;
