--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -388,6 +388,8 @@
         instant sent_at,
         std::uint64_t token,
         const worker_status& status);
+    /// Handles the refusal of a call by another incarnation than the known one.
+    void suspect_restart(worker_entry& worker);
     /// Handles a status report of a later incarnation than the known one.
     void on_worker_restarted(
         worker_entry& worker,
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -154,6 +154,10 @@
                 // An earlier order or copy may have been carried out, with the
                 // run ended since, or may still arrive.
                 mark_uncertain(*worker, run, now);
+                if (reason == start_refusal::other_incarnation)
+                {
+                    suspect_restart(*worker);
+                }
                 return;
             }
             on_start_refused(decision, *worker, reason);
@@ -307,7 +311,7 @@
         worker.quarantined_until = now + settings_.refused_start_pause;
         return;
     case start_refusal::other_incarnation:
-        workers_.unseal(worker);
+        suspect_restart(worker);
         return;
     case start_refusal::superseded:
     case start_refusal::too_late:
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -86,8 +86,10 @@
     // A number that the worker has confirmed is not sent again: a worker that
     // has restarted under its id would drop ends that nobody has seen.
     const std::uint64_t acknowledged =
-        worker.acknowledged > worker.acknowledgement_sent ? worker.acknowledged
-                                                          : 0;
+        !worker.restart_suspected &&
+                worker.acknowledged > worker.acknowledgement_sent
+            ? worker.acknowledged
+            : 0;
     const std::uint64_t token = token_of(worker);
     ports_.metrics.count("fleet_holds", "", 1);
     ports_.orders.hold(
@@ -202,6 +204,14 @@
         guarded([](fleet_owner& self) { self.schedule_round(); }));
 }
 
+void fleet_owner::suspect_restart(worker_entry& worker)
+{
+    worker.restart_suspected = true;
+    workers_.unseal(worker);
+    worker.next_hold = ports_.clock.now();
+    poll_if_due(worker);
+}
+
 void fleet_owner::on_worker_restarted(
     worker_entry& worker,
     instant sent_at,
@@ -213,7 +223,7 @@
     {
         listed.insert({each.task, each.run});
     }
-    if (worker.sealed || !worker.runs.empty())
+    if (worker.sealed || worker.restart_suspected || !worker.runs.empty())
     {
         ports_.events.emit(
             {event_number::worker_restarted,
@@ -297,6 +307,7 @@
     {
         on_worker_restarted(worker, sent_at, token, status);
     }
+    worker.restart_suspected = false;
     if (token < worker.seal_token)
     {
         worker.next_hold = now;
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -180,12 +180,17 @@
 /// token, by which workers reject orders of earlier owners. Errors of all
 /// calls: `unreachable`, with `not_run` if nothing was sent, else
 /// `may_have_run`.
+///
+/// A start reaches no other incarnation than the target's, unless the network
+/// carries a call out late that got no response.
 class worker_orders
 {
 public:
     virtual ~worker_orders() = default;
 
-    /// Starts a run. The lease applies to all runs on the worker.
+    /// Starts a run. The lease applies to all runs on the worker. Another
+    /// incarnation than the target's counts as the refusal
+    /// `other_incarnation`.
     virtual void start(
         const worker_address& target,
         std::uint64_t token,
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -61,6 +61,9 @@
     bool has_absence_record = false;
     bool sealed = false;   ///< The worker knows this owner's token.
     bool reachable = true; ///< It answered the last call.
+    /// Another incarnation than the known one has refused a call and has not
+    /// reported yet. Until then it gets neither lease nor acknowledgements.
+    bool restart_suspected = false;
     /// Is in `worker_table::out_of_sight`.
     bool out_of_sight = false;
     resources used; ///< By its runs whose needs are known.
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -171,6 +171,20 @@
     }
 }
 
+bool worker_pool::is_other_incarnation(
+    incarnation_state& worker,
+    const fleet::worker_address& required,
+    std::uint64_t token) const
+{
+    if (orders_outlive_restarts ||
+        required.incarnation == worker.about.incarnation)
+    {
+        return false;
+    }
+    worker.token = std::max(worker.token, token);
+    return true;
+}
+
 void worker_pool::extend(incarnation_state& worker, worker_instant until)
 {
     worker.lease = std::max(
@@ -388,9 +402,17 @@
     }
     deliver<fleet::start_answer>(
         target,
-        [this, token, lease_until, order = std::move(order)](
+        [this, target, token, lease_until, order = std::move(order)](
             incarnation_state& worker) -> result<fleet::start_answer>
-        { return begin(worker, token, lease_until, order); },
+        {
+            if (token >= worker.token &&
+                is_other_incarnation(worker, target, token))
+            {
+                return fleet::start_answer{
+                    start_refusal::other_incarnation, {}, false};
+            }
+            return begin(worker, token, lease_until, order);
+        },
         std::move(done),
         &faults::order_transit);
 }
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -93,8 +93,9 @@
     /// Ends the active runs of a task in the given way.
     void end_runs(const fleet::task_ref& task, fleet::run_end how);
 
-    /// Orders that were sent to an earlier incarnation of a worker are carried
-    /// out by the present one when they arrive late.
+    /// Calls for an earlier incarnation of a worker are carried out by the
+    /// present one, also when they arrive late. Otherwise the present one
+    /// refuses starts.
     bool orders_outlive_restarts = false;
     std::function<task_behaviour(const fleet::task_ref&)> behaviour;
     std::function<resources(const fleet::task_ref&)> needs;
@@ -146,6 +147,12 @@
         std::function<result<Answer>(incarnation_state&)> work,
         fleet::completion<Answer> done,
         milliseconds faults::*transit = nullptr);
+    /// True if the worker is another incarnation than the one that a call
+    /// requires. Like the introduction of such a call it tells the token.
+    [[nodiscard]] bool is_other_incarnation(
+        incarnation_state& worker,
+        const fleet::worker_address& required,
+        std::uint64_t token) const;
     [[nodiscard]] worker_instant
     clock_of(const incarnation_state& worker) const;
     void extend(incarnation_state& worker, worker_instant until);
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -130,7 +130,7 @@
 // of its earlier incarnation, as no call in flight had told of the restart.
 TEST_CASE(
     "an idle worker that restarted takes no order for its earlier incarnation",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     fleet_world world(1, 1);
     world.workers.behaviour = [](const fleet::task_ref&) {
@@ -139,7 +139,13 @@
     world.run(500ms);
     world.restart_worker("w0", 8, 1s);
     world.submit("a", {tasks(4, 4)});
-    world.run(900ms);
+    while (world.events.count(event_number::start_refused) == 0)
+    {
+        world.run(1ms);
+    }
+    world.run(10ms); // The refusal leads to a status poll at once.
+    CHECK(world.events.count(event_number::worker_restarted) == 1);
+    world.run(850ms);
     CHECK(world.workers.running() == 0);
     world.run(1s);
     CHECK(world.broken_promises().empty());
--- a/tests/site/worker_client_test.cpp
+++ b/tests/site/worker_client_test.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.hpp"
 #include "platform/worker_client.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
 
@@ -10,18 +11,45 @@
 namespace
 {
 
-/// A worker client and an HTTP server on loopback that replies with `answer`.
+net::http_response reply(unsigned status, std::string body)
+{
+    net::http_response response;
+    response.result(status);
+    response.body() = std::move(body);
+    return response;
+}
+
+/// A worker client and an HTTP server on loopback in the place of a worker. It
+/// answers status polls as the present incarnation `born`, and other calls with
+/// `answer`.
 struct fixture
 {
     boost::asio::io_context loop;
     net::timer_service timers{loop};
     net::http_client http{loop, timers};
     net::endpoint address{"127.0.0.1", 17'932};
-    std::function<void(net::http_responder)> answer;
+    std::uint64_t born = 1;
+    std::function<void(net::http_responder)> answer =
+        [](const net::http_responder& respond)
+    { respond(reply(200, R"({"clockMs":5})")); };
+    std::function<void(net::http_responder)> answer_poll =
+        [this](const net::http_responder& respond)
+    {
+        respond(reply(
+            200,
+            R"({"clockMs":5,"running":[],"finished":[],"born":)" +
+                std::to_string(born) + "}"));
+    };
+    std::vector<std::string> starts; ///< Bodies of the start orders received.
+    std::vector<std::string> polls;  ///< The same of status polls.
     std::unique_ptr<net::http_server> server;
-    site::worker_client workers{http, {10s, 10s}};
+    site::worker_client workers;
 
-    fixture() { listen(); }
+    explicit fixture(site::worker_timeouts timeouts = {10s, 10s})
+        : workers(http, timeouts)
+    {
+        listen();
+    }
 
     void listen()
     {
@@ -30,12 +58,24 @@
             loop,
             address,
             {},
-            [this](const net::http_request&, net::http_responder respond)
-            { answer(std::move(respond)); });
+            [this](
+                const net::http_request& request, net::http_responder respond)
+            {
+                const bool is_poll = request.target() == "/-/hold";
+                (is_poll ? polls : starts).push_back(request.body());
+                (is_poll ? answer_poll : answer)(std::move(respond));
+            });
         REQUIRE(made.has_value());
         server = *std::move(made);
     }
 
+    /// Another process takes the worker's place.
+    void restart()
+    {
+        ++born;
+        listen();
+    }
+
     result<fleet::start_answer> start()
     {
         std::optional<result<fleet::start_answer>> outcome;
@@ -55,15 +95,36 @@
         }
         return *std::move(outcome);
     }
-};
 
-net::http_response reply(unsigned status, std::string body)
-{
-    net::http_response response;
-    response.result(status);
-    response.body() = std::move(body);
-    return response;
-}
+    result<fleet::worker_status>
+    poll(std::uint64_t acknowledged, std::optional<worker_instant> lease)
+    {
+        std::optional<result<fleet::worker_status>> outcome;
+        workers.hold(
+            {worker_id("w0"), address.str(), 1},
+            7,
+            acknowledged,
+            lease,
+            0ms,
+            [&](result<fleet::worker_status> told)
+            { outcome = std::move(told); });
+        while (!outcome)
+        {
+            loop.run_one();
+        }
+        return *std::move(outcome);
+    }
+
+    /// True if a status poll that arrived has this text in its body.
+    [[nodiscard]] bool polled_with(std::string_view text) const
+    {
+        return std::any_of(
+            polls.begin(),
+            polls.end(),
+            [&](const std::string& body)
+            { return body.find(text) != std::string::npos; });
+    }
+};
 
 } // namespace
 
@@ -92,3 +153,95 @@
     CHECK(refused->refusal == fleet::start_refusal::no_room);
     CHECK(refused->unanswered_copy);
 }
+
+// Guards against a worker over its capacity and a task that runs twice: an
+// order was repeated on a new connection after a pooled one had broken, and
+// reached the process that had taken the worker's place.
+TEST_CASE(
+    "a repeated start order reaches no later life of its worker", "[site]")
+{
+    fixture at;
+    REQUIRE(at.start().has_value());
+    REQUIRE(at.starts.size() == 1);
+    at.restart();
+    const auto refused = at.start();
+    REQUIRE(refused.has_value());
+    CHECK(refused->refusal == fleet::start_refusal::other_incarnation);
+    CHECK(refused->unanswered_copy);
+    CHECK(at.starts.size() == 1);
+}
+
+// As above, for an order that is the first on its connection.
+TEST_CASE(
+    "a start order on a new connection reaches no later life of its worker",
+    "[site]")
+{
+    fixture at;
+    at.restart();
+    const auto refused = at.start();
+    REQUIRE(refused.has_value());
+    CHECK(refused->refusal == fleet::start_refusal::other_incarnation);
+    CHECK_FALSE(refused->unanswered_copy);
+    CHECK(at.starts.empty());
+}
+
+// Guards against a worker that is never heard of again after its restart.
+TEST_CASE("a plain status poll is answered by a later life", "[site]")
+{
+    fixture at;
+    REQUIRE(at.start().has_value());
+    at.restart();
+    const auto status = at.poll(0, {});
+    REQUIRE(status.has_value());
+    CHECK(status->incarnation == 2);
+}
+
+// Guards against the price of additional calls: an introduction is needed only
+// on a connection on which the worker has not told its incarnation.
+TEST_CASE("an order after a status poll needs no introduction", "[site]")
+{
+    fixture at;
+    REQUIRE(at.poll(0, {}).has_value());
+    REQUIRE(at.start().has_value());
+    REQUIRE(at.poll(1, worker_instant(3s)).has_value());
+    CHECK(at.polls.size() == 2);
+    CHECK(at.starts.size() == 1);
+    CHECK(at.http.counts().connects == 1);
+}
+
+// Guards against an owner that does not learn of its successor: the refusal of
+// an introduction is that of the call.
+TEST_CASE("a worker that knows a later owner refuses before the call", "[site]")
+{
+    fixture at;
+    at.answer_poll = [](const net::http_responder& respond)
+    { respond(reply(409, R"({"clockMs":6,"reason":"fence"})")); };
+    const auto refused = at.start();
+    REQUIRE(refused.has_value());
+    CHECK(refused->refusal == fleet::start_refusal::fenced);
+    CHECK(refused->clock == worker_instant(6ms));
+    CHECK(at.starts.empty());
+}
+
+// Guards against a task that waits although nothing of it was sent.
+TEST_CASE("a start whose worker does not say who it is did not run", "[site]")
+{
+    fixture at({100ms, 100ms});
+    std::vector<net::http_responder> held;
+    const bool answers = GENERATE(false, true);
+    CAPTURE(answers);
+    at.answer_poll = [&](net::http_responder respond)
+    {
+        if (answers)
+        {
+            respond(reply(200, R"({"clockMs":5})"));
+            return;
+        }
+        held.push_back(std::move(respond));
+    };
+    const auto unanswered = at.start();
+    REQUIRE_FALSE(unanswered.has_value());
+    CHECK(unanswered.error().code == refusal_code::unreachable);
+    CHECK(unanswered.error().effect == verdict::not_run);
+    CHECK(at.starts.empty());
+}
