--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -176,6 +176,12 @@
         poll_if_due(*worker);
         return;
     }
+    if (status.error().code == refusal_code::unknown_worker &&
+        !worker->restart_suspected)
+    {
+        suspect_restart(*worker);
+        return;
+    }
     if (status.error().code == refusal_code::stale_epoch)
     {
         ports_.step_down(
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -181,8 +181,9 @@
 /// calls: `unreachable`, with `not_run` if nothing was sent, else
 /// `may_have_run`.
 ///
-/// A start reaches no other incarnation than the target's, unless the network
-/// carries a call out late that got no response.
+/// What only holds for one incarnation of a worker (a start, a lease, a number
+/// of acknowledged ends) reaches no other one, unless the network carries a
+/// call out late that got no response.
 class worker_orders
 {
 public:
@@ -210,7 +211,8 @@
     /// Reads the worker's status; waits up to `wait` for a run to end. Extends
     /// the lease if `lease_until` is set, and lets the worker drop ended runs
     /// up to number `acknowledged`. Further errors: `stale_epoch`, and
-    /// `unknown_worker` if the worker was restarted.
+    /// `unknown_worker` if the worker was restarted and the call has a lease or
+    /// a number. Any incarnation answers a call without them.
     virtual void hold(
         const worker_address& target,
         std::uint64_t token,
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -538,13 +538,19 @@
     }
     deliver<bool>(
         target,
-        [this, token, acknowledged, lease_until, until, done, answered](
+        [this, target, token, acknowledged, lease_until, until, done, answered](
             incarnation_state& worker) -> result<bool>
         {
             if (token < worker.token)
             {
                 return refuse(refusal_code::stale_epoch, "fence");
             }
+            if ((lease_until || acknowledged > 0) &&
+                is_other_incarnation(worker, target, token))
+            {
+                return refuse(
+                    refusal_code::unknown_worker, "another incarnation");
+            }
             worker.token = token;
             worker.acknowledged = std::max(worker.acknowledged, acknowledged);
             std::erase_if(
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -95,7 +95,7 @@
 
     /// Calls for an earlier incarnation of a worker are carried out by the
     /// present one, also when they arrive late. Otherwise the present one
-    /// refuses starts.
+    /// refuses starts, and status polls with a lease or an acknowledged number.
     bool orders_outlive_restarts = false;
     std::function<task_behaviour(const fleet::task_ref&)> behaviour;
     std::function<resources(const fleet::task_ref&)> needs;
--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -152,6 +152,43 @@
     CHECK(world.workers.running() == 2);
 }
 
+// Guards against a task that runs twice: a status poll for the earlier
+// incarnation of a worker extended the lease of the present one by a time on
+// another clock, and let it drop ends that nobody had seen. Also guards against
+// a worker that counts as silent for that.
+TEST_CASE(
+    "a restarted worker takes no lease or number for its earlier incarnation",
+    "[fleet]")
+{
+    const milliseconds registers_after = GENERATE(0ms, 2'000ms);
+    CAPTURE(registers_after.count());
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref& task)
+    {
+        return standin::task_behaviour{
+            task.step.job == job_id("short") ? 500ms : 20s, false};
+    };
+    world.submit("short", {tasks(1)});
+    world.submit("long", {tasks(1)});
+    world.run(500ms);
+    REQUIRE(world.workers.running() == 2);
+    // Between the end of a run and the status poll that acknowledges it, so
+    // that no poll is in flight.
+    while (world.workers.running() == 2)
+    {
+        world.run(1ms);
+    }
+    world.run(2ms);
+    world.restart_worker("w0", 16, registers_after);
+    world.run(1s);
+    CHECK(world.workers.acknowledged_of(worker_id("w0")) == 0);
+    CHECK(world.events.count(event_number::worker_silent) == 0);
+    CHECK(world.events.count(event_number::worker_restarted) == 1);
+    world.run(2s);
+    CHECK(world.starts_of("long").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against an account over its cap after a take-over: the new owner did
 // not count what may run on workers that it has not heard from yet.
 TEST_CASE(
--- a/tests/site/worker_client_test.cpp
+++ b/tests/site/worker_client_test.cpp
@@ -185,6 +185,46 @@
     CHECK(at.starts.empty());
 }
 
+// Guards against a task that runs twice: the lease was on the clock of the
+// worker's earlier life and lasted longer in the later one.
+TEST_CASE("a lease reaches no later life of its worker", "[site]")
+{
+    const bool had_connection = GENERATE(false, true);
+    CAPTURE(had_connection);
+    fixture at;
+    if (had_connection)
+    {
+        REQUIRE(at.poll(0, worker_instant(3s)).has_value());
+        REQUIRE(at.polled_with("\"expiresMs\":3000"));
+    }
+    at.restart();
+    const auto refused = at.poll(0, worker_instant(5s));
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().code == refusal_code::unknown_worker);
+    CHECK(refused.error().effect == verdict::not_run);
+    CHECK_FALSE(at.polled_with("\"expiresMs\":5000"));
+}
+
+// Guards against a task that runs twice: the later life dropped ends up to a
+// number that the earlier one had reached, and nobody had seen them.
+TEST_CASE(
+    "an acknowledged number reaches no later life of its worker", "[site]")
+{
+    const bool had_connection = GENERATE(false, true);
+    CAPTURE(had_connection);
+    fixture at;
+    if (had_connection)
+    {
+        REQUIRE(at.poll(2, {}).has_value());
+        REQUIRE(at.polled_with("\"lastSeen\":2"));
+    }
+    at.restart();
+    const auto refused = at.poll(3, {});
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().code == refusal_code::unknown_worker);
+    CHECK_FALSE(at.polled_with("\"lastSeen\":3"));
+}
+
 // Guards against a worker that is never heard of again after its restart.
 TEST_CASE("a plain status poll is answered by a later life", "[site]")
 {
@@ -221,6 +261,10 @@
     CHECK(refused->refusal == fleet::start_refusal::fenced);
     CHECK(refused->clock == worker_instant(6ms));
     CHECK(at.starts.empty());
+    const auto poll = at.poll(0, worker_instant(5s));
+    REQUIRE_FALSE(poll.has_value());
+    CHECK(poll.error().code == refusal_code::stale_epoch);
+    CHECK_FALSE(at.polled_with("expiresMs"));
 }
 
 // Guards against a task that waits although nothing of it was sent.
