--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -177,6 +177,12 @@
         poll_if_due(*worker);
         return;
     }
+    if (status.error().code == refusal_code::unknown_worker &&
+        !worker->restart_suspected)
+    {
+        suspect_restart(*worker);
+        return;
+    }
     if (status.error().code == refusal_code::stale_epoch)
     {
         ports_.step_down(
@@ -205,6 +211,14 @@
         guarded([](fleet_owner& self) { self.schedule_round(); }));
 }
 
+void fleet_owner::suspect_restart(worker_entry& worker)
+{
+    worker.restart_suspected = true;
+    workers_.unseal(worker);
+    worker.next_hold = ports_.clock.now();
+    poll_if_due(worker);
+}
+
 void fleet_owner::on_worker_restarted(
     worker_entry& worker,
     instant sent_at,
@@ -216,7 +230,7 @@
     {
         listed.insert({each.task, each.run});
     }
-    if (worker.sealed || !worker.runs.empty())
+    if (worker.sealed || worker.restart_suspected || !worker.runs.empty())
     {
         ports_.events.emit(
             {event_number::worker_restarted,
@@ -304,6 +318,7 @@
     {
         on_worker_restarted(worker, sent_at, token, status);
     }
+    worker.restart_suspected = false;
     if (token < worker.seal_token)
     {
         worker.next_hold = now;
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -180,12 +180,18 @@
 /// token, by which workers reject orders of earlier owners. Errors of all
 /// calls: `unreachable`, with `not_run` if nothing was sent, else
 /// `may_have_run`.
+///
+/// What only holds for one incarnation of a worker (a start, a lease, a number
+/// of acknowledged ends) reaches no other one, unless the network carries a
+/// call out late that got no response.
 class worker_orders
 {
 public:
     virtual ~worker_orders() = default;
 
-    /// Starts a run. The lease applies to all runs on the worker.
+    /// Starts a run. The lease applies to all runs on the worker. Another
+    /// incarnation than the target's counts as the refusal
+    /// `other_incarnation`.
     virtual void start(
         const worker_address& target,
         std::uint64_t token,
@@ -205,7 +211,8 @@
     /// Reads the worker's status; waits up to `wait` for a run to end. Extends
     /// the lease if `lease_until` is set, and lets the worker drop ended runs
     /// up to number `acknowledged`. Further errors: `stale_epoch`, and
-    /// `unknown_worker` if the worker was restarted.
+    /// `unknown_worker` if the worker was restarted and the call has a lease or
+    /// a number. Any incarnation answers a call without them.
     virtual void hold(
         const worker_address& target,
         std::uint64_t token,
