--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -997,3 +997,72 @@
             { return each.get() != before && each->owner != nullptr; }));
     }
 }
+
+// Guards against jobs that never run: a VM's answer to one question arrives a
+// second time, as by a client whose connection breaks, and was taken for its
+// answer to the next question of the same step. Workers that the policy service
+// was never asked about counted as denied.
+TEST_CASE(
+    "an answer of the policy service that arrives twice settles one question",
+    "[fleet][known-red]")
+{
+    fleet_world world(2, 40);
+    fleet::queue_settings queue;
+    queue.name = queue_name("work");
+    queue.service = fleet::service_name("svc");
+    queue.attempts = 2;
+    fleet::policy_timing advice;
+    advice.base = std::chrono::duration<double, std::milli>(10.0);
+    advice.per_worker = std::chrono::duration<double, std::milli>(0.1);
+    advice.valid = 1'500ms;
+    queue.advice = advice;
+    fleet::account_settings account;
+    account.name = fleet::account_name("acct");
+    world.config = fleet::configuration(1, {queue}, {account}, {});
+    world.run(500ms);
+    const instance_id vm("another");
+    std::vector<fleet::permit_request> questions;
+    const auto request = [&]
+    {
+        world.owner()->request_work(
+            vm,
+            500ms,
+            [&](std::optional<fleet::permit_request> question)
+            {
+                if (question)
+                {
+                    questions.push_back(*std::move(question));
+                }
+            });
+        world.run(100ms);
+    };
+    world.submit("a", {tasks(1)});
+    world.run(200ms);
+    request();
+    REQUIRE(questions.size() == 1);
+    const fleet::permits none{{}, advice.valid};
+    world.owner()->on_policy_answer(vm, questions[0].step, none, 0ms);
+    request();
+    REQUIRE(questions.size() == 2);
+    // The service allows the workers of the second question alone.
+    const std::vector<worker_id> allowed = questions[1].workers;
+    REQUIRE(!allowed.empty());
+    // The reply with the second question was lost: the request is repeated.
+    world.owner()->on_policy_answer(vm, questions[0].step, none, 0ms);
+    request();
+    for (std::size_t at = 2; at < questions.size() && at < 100; ++at)
+    {
+        fleet::permits answer = none;
+        for (const worker_id& each : questions[at].workers)
+        {
+            if (std::find(allowed.begin(), allowed.end(), each) !=
+                allowed.end())
+            {
+                answer.allowed.push_back({each, "ticket"});
+            }
+        }
+        world.owner()->on_policy_answer(vm, questions[at].step, answer, 0ms);
+        request();
+    }
+    CHECK(world.run_until("a", job_state::completed, 10s));
+}
