--- a/src/edge/advice_poller.cpp
+++ b/src/edge/advice_poller.cpp
@@ -105,7 +105,8 @@
         question.workers,
         question.expected * 2 + query_timeout_margin,
         [weak = weak_from_this(),
-         step = question.step](const result<fleet::permits>& granted)
+         step = question.step,
+         number = question.number](const result<fleet::permits>& granted)
         {
             const auto self = weak.lock();
             if (!self)
@@ -114,6 +115,7 @@
             }
             work_request::answer answer;
             answer.step = step;
+            answer.question = number;
             if (granted)
             {
                 answer.granted = *granted;
--- a/src/edge/owner_client.cpp
+++ b/src/edge/owner_client.cpp
@@ -293,6 +293,7 @@
             local_->on_policy_answer(
                 request.vm,
                 request.last_answer->step,
+                request.last_answer->question,
                 request.last_answer->granted,
                 request.last_answer->age);
         }
--- a/src/edge/peer_api.cpp
+++ b/src/edge/peer_api.cpp
@@ -126,6 +126,7 @@
         owner.on_policy_answer(
             work->vm,
             work->last_answer->step,
+            work->last_answer->question,
             work->last_answer->granted,
             work->last_answer->age);
     }
--- a/src/edge/peer_messages.cpp
+++ b/src/edge/peer_messages.cpp
@@ -26,6 +26,12 @@
         value.at(2).get<std::uint32_t>()};
 }
 
+/// Reads the number of a question, which earlier builds do not send.
+std::uint64_t question_number_from_json(const json& fields, std::size_t at)
+{
+    return fields.size() > at ? fields.at(at).get<std::uint64_t>() : 0;
+}
+
 json to_json(const work_request::answer& answer)
 {
     json allowed = nullptr;
@@ -44,7 +50,8 @@
         {to_json(answer.step),
          answer.age.count(),
          valid.count(),
-         std::move(allowed)});
+         std::move(allowed),
+         answer.question});
 }
 
 work_request::answer answer_from_json(const json& value)
@@ -63,6 +70,7 @@
                  row.at(1).get<std::string>()});
         }
     }
+    answer.question = question_number_from_json(value, 4);
     return answer;
 }
 
@@ -114,7 +122,8 @@
             {to_json(reply.question->step),
              reply.question->priority,
              reply.question->expected.count(),
-             std::move(workers)});
+             std::move(workers),
+             reply.question->number});
     }
     return to_msgpack_text(json::array(
         {std::move(question),
@@ -143,6 +152,7 @@
                 {
                     question.workers.emplace_back(worker.get<std::string>());
                 }
+                question.number = question_number_from_json(asked, 4);
             }
             reply.config_version = value.at(1).get<std::uint64_t>();
             reply.config_age =
--- a/src/edge/peer_messages.hpp
+++ b/src/edge/peer_messages.hpp
@@ -35,11 +35,16 @@
         fleet::step_id step;
         std::optional<fleet::permits> granted; ///< Empty if the query failed.
         milliseconds age{0}; ///< Time since the policy service replied.
+        /// `permit_request::number` of the query, so that the owner takes no
+        /// repeated request for the answer to a later query.
+        std::uint64_t question = 0;
     };
     std::optional<answer> last_answer;
 };
 
 /// All messages are encoded as MessagePack. Decoders fail with `malformed`.
+/// VMs of different builds exchange them: new fields are added at the end of
+/// their array, where earlier builds ignore them, and may be missing.
 [[nodiscard]] std::string encode(const work_request& request);
 [[nodiscard]] result<work_request> decode_work_request(std::string_view text);
 
--- a/src/fleet/advice_dispatcher.cpp
+++ b/src/fleet/advice_dispatcher.cpp
@@ -129,6 +129,7 @@
         const instance_id vm = receiver.key();
         const instant deadline =
             now + question->expected * 2 + settings_.answer_grace;
+        question->number = ++last_number_;
         assignments_[vm] = {*question, deadline};
         next_deadline_ = std::min(next_deadline_, deadline);
         // The VM counts as active while it works on the question.
@@ -140,11 +141,12 @@
     return expire(now);
 }
 
-std::optional<permit_request>
-advice_dispatcher::finish(const instance_id& vm, const step_id& step)
+std::optional<permit_request> advice_dispatcher::finish(
+    const instance_id& vm, const step_id& step, std::uint64_t number)
 {
     const auto at = assignments_.find(vm);
-    if (at == assignments_.end() || at->second.question.step != step)
+    if (at == assignments_.end() || at->second.question.step != step ||
+        (number != 0 && at->second.question.number != number))
     {
         return std::nullopt;
     }
--- a/src/fleet/advice_dispatcher.hpp
+++ b/src/fleet/advice_dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet/planner.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
@@ -40,8 +41,10 @@
 public:
     using question_handler = std::function<void(std::optional<permit_request>)>;
 
-    explicit advice_dispatcher(advice_dispatcher_settings settings = {})
-        : settings_(settings)
+    /// `owner_token` increases with every change of owner.
+    explicit advice_dispatcher(
+        advice_dispatcher_settings settings = {}, std::uint64_t owner_token = 0)
+        : settings_(settings), last_number_(owner_token * numbers_per_owner)
     {
     }
 
@@ -51,7 +54,8 @@
     /// Registers a VM that is free for a question. `deliver` is called once,
     /// with a question or, if there is none by the deadline, with nothing. A
     /// question that this VM was given before and has not answered is queued
-    /// again, and its earlier request ends with nothing.
+    /// again, and its earlier request ends with nothing. Each delivery of a
+    /// question has another number (`permit_request::number`).
     void request_question(
         const instance_id& vm,
         instant now,
@@ -63,10 +67,13 @@
     /// has to ask them again.
     [[nodiscard]] std::vector<permit_request> dispatch(instant now);
 
-    /// Ends a VM's current question and returns it, if it is about this step;
-    /// otherwise returns nothing.
+    /// Ends a VM's current question and returns it, if it is about this step
+    /// and has this number; otherwise returns nothing. The step alone does not
+    /// tell: an answer may arrive twice, and the VM's next question may be
+    /// about the same step. Zero, from a VM of a build that returns no numbers,
+    /// stands for any number.
     [[nodiscard]] std::optional<permit_request>
-    finish(const instance_id& vm, const step_id& step);
+    finish(const instance_id& vm, const step_id& step, std::uint64_t number);
 
     /// Number of short and long questions to add so that no VM is idle for lack
     /// of one.
@@ -81,6 +88,10 @@
     void close();
 
 private:
+    /// Bound of the deliveries by one owner, so that their numbers differ from
+    /// those of every other owner.
+    static constexpr std::uint64_t numbers_per_owner = std::uint64_t{1} << 32U;
+
     struct idle_vm
     {
         question_handler deliver;
@@ -102,6 +113,7 @@
     [[nodiscard]] std::vector<permit_request> expire(instant now);
 
     advice_dispatcher_settings settings_;
+    std::uint64_t last_number_;         ///< Of the latest delivery.
     std::list<permit_request> waiting_; ///< By priority, then by arrival.
     std::map<instance_id, idle_vm> idle_vms_;
     std::map<instance_id, assignment> assignments_;
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -39,7 +39,7 @@
       jobs_(token),
       workers_(settings.workers),
       planner_(settings.planning),
-      dispatcher_(settings.advice)
+      dispatcher_(settings.advice, token)
 {
 }
 
@@ -356,13 +356,16 @@
 void fleet_owner::on_policy_answer(
     const instance_id& vm,
     const step_id& step,
+    std::uint64_t question,
     const std::optional<permits>& answer,
     milliseconds age)
 {
-    const auto question = dispatcher_.finish(vm, step);
-    if (!question)
+    const auto answered = dispatcher_.finish(vm, step, question);
+    if (!answered)
     {
-        return; // The question has been given to another VM since.
+        // The question has been given to another VM since, or this is a copy of
+        // an answer that has been handled.
+        return;
     }
     const instant now = ports_.clock.now();
     if (!answer)
@@ -381,14 +384,14 @@
         jobs_,
         workers_,
         step,
-        question->workers,
+        answered->workers,
         *answer,
         now - age - settings_.permit_transit_time + answer->valid);
     ports_.events.emit(
         {event_number::advice_taken,
          {{"job", step.job.str()},
           {"step", std::to_string(step.step)},
-          {"asked", std::to_string(question->workers.size())},
+          {"asked", std::to_string(answered->workers.size())},
           {"allowed", std::to_string(answer->allowed.size())},
           {"age_ms", text_of(age)},
           {"vm", vm.str()}}});
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -212,10 +212,13 @@
         advice_dispatcher::question_handler reply);
     /// Handles the policy service's answer to the question that a VM was given;
     /// `answer` is empty if the service did not answer. `age` is the time since
-    /// the answer arrived at that VM.
+    /// the answer arrived at that VM. `question` is the number of the question
+    /// (see `advice_dispatcher::finish`); an answer to another one than the VM
+    /// was given last is ignored.
     void on_policy_answer(
         const instance_id& vm,
         const step_id& step,
+        std::uint64_t question,
         const std::optional<permits>& answer,
         milliseconds age);
 
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -33,6 +33,9 @@
     std::vector<worker_id> workers;
     std::uint32_t priority = 0; ///< Lower values are sent first.
     milliseconds expected{0};   ///< Expected response time.
+    /// Set by `advice_dispatcher` each time it delivers the question. Zero
+    /// until then, and from an owner of a build that sends no numbers.
+    std::uint64_t number = 0;
 };
 
 /// How many permit requests can be sent soon. Further ones would only become
--- a/tests/edge/peer_messages_test.cpp
+++ b/tests/edge/peer_messages_test.cpp
@@ -1,10 +1,37 @@
 #include "edge/peer_messages.hpp"
 
+#include "codec/msgpack_fields.hpp"
+
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace acaciastile;
 using namespace acaciastile::edge;
 using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace
+{
+
+/// The fields of an encoded message.
+json fields_of(const std::string& message)
+{
+    const result<json> value = parse_msgpack(message);
+    REQUIRE(value.has_value());
+    return *value;
+}
+
+/// The message of a build before the numbers of questions: the array in its
+/// field `at` has four fields.
+std::string without_number(const std::string& message, std::size_t at)
+{
+    json fields = fields_of(message);
+    REQUIRE(fields.at(at).size() == 5);
+    fields.at(at).erase(4);
+    return to_msgpack_text(fields);
+}
+
+} // namespace
 
 TEST_CASE("a work request keeps the last answer when decoded", "[peers]")
 {
@@ -16,6 +43,7 @@
     work_request::answer& last_answer = *request.last_answer;
     last_answer.step = {job_id("a"), 2, 1};
     last_answer.age = 3ms;
+    last_answer.question = (std::uint64_t{9} << 32U) + 5;
     last_answer.granted = fleet::permits{{{worker_id("w"), "ticket"}}, 1'500ms};
     const auto read = decode_work_request(encode(request));
     REQUIRE(read.has_value());
@@ -23,6 +51,7 @@
     CHECK(read->config_version == 7);
     REQUIRE(read->last_answer.has_value());
     CHECK(read->last_answer->step == last_answer.step);
+    CHECK(read->last_answer->question == last_answer.question);
     REQUIRE(read->last_answer->granted.has_value());
     CHECK(read->last_answer->granted->allowed.front().ticket == "ticket");
     CHECK(read->last_answer->granted->valid == 1'500ms);
@@ -34,6 +63,7 @@
     work_reply reply;
     reply.question =
         fleet::permit_request{{job_id("a"), 0, 3}, {worker_id("w")}, 2, 40ms};
+    reply.question->number = (std::uint64_t{9} << 32U) + 5;
     reply.config_version = 9;
     reply.config_age = 12ms;
     reply.config = "{\"version\":9}";
@@ -42,6 +72,7 @@
     REQUIRE(read->question.has_value());
     CHECK(read->question->step == reply.question->step);
     CHECK(read->question->priority == 2);
+    CHECK(read->question->number == reply.question->number);
     CHECK(read->config == reply.config);
     CHECK(read->config_age == 12ms);
     CHECK_FALSE(decode_work_reply(encode(work_reply{}))->question.has_value());
@@ -71,6 +102,62 @@
     CHECK(read->deadline == 3s);
 }
 
+TEST_CASE("peer messages of earlier builds are read", "[peers]")
+{
+    work_request request;
+    request.last_answer = work_request::answer();
+    request.last_answer->step = {job_id("a"), 2, 1};
+    request.last_answer->granted =
+        fleet::permits{{{worker_id("w"), "ticket"}}, 1'500ms};
+    request.last_answer->question = 5;
+    const auto asked = decode_work_request(without_number(encode(request), 3));
+    REQUIRE(asked.has_value());
+    REQUIRE(asked->last_answer.has_value());
+    CHECK(asked->last_answer->step == request.last_answer->step);
+    CHECK(asked->last_answer->granted.has_value());
+    CHECK(asked->last_answer->question == 0);
+    work_reply reply;
+    reply.question =
+        fleet::permit_request{{job_id("a"), 0, 3}, {worker_id("w")}, 2, 40ms};
+    reply.question->number = 5;
+    reply.failing_token = 3;
+    const auto replied = decode_work_reply(without_number(encode(reply), 0));
+    REQUIRE(replied.has_value());
+    REQUIRE(replied->question.has_value());
+    CHECK(replied->question->step == reply.question->step);
+    CHECK(replied->question->number == 0);
+    CHECK(replied->failing_token == 3);
+}
+
+TEST_CASE("earlier builds can read the peer messages", "[peers]")
+{
+    // They read fields by position and ignore those beyond the ones they know.
+    work_request request;
+    request.vm = instance_id("vm1");
+    request.wait = 700ms;
+    request.config_version = 7;
+    request.last_answer = work_request::answer();
+    request.last_answer->step = {job_id("a"), 2, 1};
+    request.last_answer->age = 3ms;
+    request.last_answer->granted =
+        fleet::permits{{{worker_id("w"), "ticket"}}, 1'500ms};
+    request.last_answer->question = 5;
+    CHECK(
+        fields_of(without_number(encode(request), 3)) ==
+        json::parse(R"(["vm1",700,7,[["a",2,1],3,1500,[["w","ticket"]]]])"));
+    work_reply reply;
+    reply.question =
+        fleet::permit_request{{job_id("a"), 0, 3}, {worker_id("w")}, 2, 40ms};
+    reply.question->number = 5;
+    reply.config_version = 9;
+    reply.config_age = 12ms;
+    reply.config = "c";
+    reply.failing_token = 3;
+    CHECK(
+        fields_of(without_number(encode(reply), 0)) ==
+        json::parse(R"([[["a",0,3],2,40,["w"]],9,12,"c",3])"));
+}
+
 TEST_CASE("undecodable peer messages are malformed", "[peers]")
 {
     CHECK(
--- a/tests/fleet/advice_dispatcher_test.cpp
+++ b/tests/fleet/advice_dispatcher_test.cpp
@@ -96,8 +96,76 @@
     const auto overdue = at.dispatcher.dispatch(at.now);
     REQUIRE(overdue.size() == 1);
     CHECK(overdue.front().step.job.str() == "one");
-    CHECK_FALSE(at.dispatcher.finish(instance_id("a"), overdue.front().step)
-                    .has_value());
+    CHECK_FALSE(
+        at.dispatcher
+            .finish(
+                instance_id("a"), overdue.front().step, overdue.front().number)
+            .has_value());
+}
+
+TEST_CASE("an answer ends only the question that it was given for", "[advice]")
+{
+    const instant now{10s};
+    advice_dispatcher dispatcher;
+    const instance_id vm("a");
+    std::vector<permit_request> delivered;
+    // Delivers another question about the same step.
+    const auto deliver = [&]
+    {
+        dispatcher.add(question("job", 1, 10ms));
+        dispatcher.request_question(
+            vm,
+            now,
+            now + 1s,
+            [&](std::optional<permit_request> received)
+            { delivered.push_back(received.value()); });
+        CHECK(dispatcher.dispatch(now).empty());
+    };
+    deliver();
+    const permit_request first = delivered.back();
+    CHECK(dispatcher.finish(vm, first.step, first.number).has_value());
+    deliver();
+    const permit_request second = delivered.back();
+    CHECK(second.step == first.step);
+    CHECK_FALSE(dispatcher.finish(vm, first.step, first.number).has_value());
+    CHECK(dispatcher.finish(vm, second.step, second.number).has_value());
+    CHECK_FALSE(dispatcher.finish(vm, second.step, second.number).has_value());
+}
+
+TEST_CASE("an answer without a number is matched by its step", "[advice]")
+{
+    const instant now{10s};
+    advice_dispatcher dispatcher;
+    const instance_id vm("a");
+    dispatcher.add(question("job", 1, 10ms));
+    dispatcher.request_question(
+        vm, now, now + 1s, [](const std::optional<permit_request>&) {});
+    CHECK(dispatcher.dispatch(now).empty());
+    CHECK_FALSE(dispatcher.finish(vm, {job_id("other"), 0, 0}, 0).has_value());
+    CHECK(dispatcher.finish(vm, {job_id("job"), 0, 0}, 0).has_value());
+}
+
+TEST_CASE("questions of two owners have different numbers", "[advice]")
+{
+    const instant now{10s};
+    std::set<std::uint64_t> numbers;
+    for (const std::uint64_t token : {7U, 8U})
+    {
+        advice_dispatcher dispatcher({}, token);
+        for (int n = 0; n < 3; ++n)
+        {
+            dispatcher.add(question("job", 1, 10ms));
+            dispatcher.request_question(
+                instance_id("a"),
+                now,
+                now + 1s,
+                [&](std::optional<permit_request> received)
+                { numbers.insert(received.value().number); });
+            CHECK(dispatcher.dispatch(now).empty());
+        }
+    }
+    CHECK(numbers.size() == 6);
+    CHECK(numbers.count(0) == 0);
 }
 
 TEST_CASE(
--- a/tests/fleet/owner_test.cpp
+++ b/tests/fleet/owner_test.cpp
@@ -1004,7 +1004,7 @@
 // was never asked about counted as denied.
 TEST_CASE(
     "an answer of the policy service that arrives twice settles one question",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     fleet_world world(2, 40);
     fleet::queue_settings queue;
@@ -1041,14 +1041,16 @@
     request();
     REQUIRE(questions.size() == 1);
     const fleet::permits none{{}, advice.valid};
-    world.owner()->on_policy_answer(vm, questions[0].step, none, 0ms);
+    world.owner()->on_policy_answer(
+        vm, questions[0].step, questions[0].number, none, 0ms);
     request();
     REQUIRE(questions.size() == 2);
     // The service allows the workers of the second question alone.
     const std::vector<worker_id> allowed = questions[1].workers;
     REQUIRE(!allowed.empty());
     // The reply with the second question was lost: the request is repeated.
-    world.owner()->on_policy_answer(vm, questions[0].step, none, 0ms);
+    world.owner()->on_policy_answer(
+        vm, questions[0].step, questions[0].number, none, 0ms);
     request();
     for (std::size_t at = 2; at < questions.size() && at < 100; ++at)
     {
@@ -1061,7 +1063,8 @@
                 answer.allowed.push_back({each, "ticket"});
             }
         }
-        world.owner()->on_policy_answer(vm, questions[at].step, answer, 0ms);
+        world.owner()->on_policy_answer(
+            vm, questions[at].step, questions[at].number, answer, 0ms);
         request();
     }
     CHECK(world.run_until("a", job_state::completed, 10s));
