--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -24,6 +24,7 @@
     std::vector<fleet::ended_run> ended;
     std::uint64_t last_end = 0;
     std::uint64_t acknowledged = 0;
+    instant lapsed{}; ///< When the lease last lapsed.
     bool ended_by_restart = false;
     worker_pool::faults active_faults;
     std::vector<std::function<void()>> pending_holds;
@@ -194,6 +195,7 @@
     {
         return;
     }
+    worker.lapsed = clock_.now();
     while (!worker.runs.empty())
     {
         const auto [task, run] = *worker.runs.begin();
@@ -201,6 +203,35 @@
     }
 }
 
+void worker_pool::acknowledge(
+    incarnation_state& worker, std::uint64_t acknowledged)
+{
+    worker.acknowledged = std::max(worker.acknowledged, acknowledged);
+    std::erase_if(
+        worker.ended,
+        [&](const fleet::ended_run& each)
+        {
+            if (each.number > acknowledged)
+            {
+                return false;
+            }
+            const auto end = std::find_if(
+                events_.rbegin(),
+                events_.rend(),
+                [&](const worker_event& seen)
+                {
+                    return seen.what == worker_event::kind::ended &&
+                           seen.worker == worker.about.id &&
+                           seen.task == each.task && seen.run == each.run;
+                });
+            if (end != events_.rend() && end->at > worker.lapsed)
+            {
+                noted_ends_.push_back(*end);
+            }
+            return true;
+        });
+}
+
 void worker_pool::finish(
     incarnation_state& worker,
     const task_ref& task,
@@ -524,11 +555,7 @@
                 return refuse(refusal_code::stale_epoch, "fence");
             }
             worker.token = token;
-            worker.acknowledged = std::max(worker.acknowledged, acknowledged);
-            std::erase_if(
-                worker.ended,
-                [&](const fleet::ended_run& each)
-                { return each.number <= acknowledged; });
+            acknowledge(worker, acknowledged);
             if (lease_until)
             {
                 extend(worker, *lease_until);
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -108,6 +108,12 @@
     {
         return events_;
     }
+    /// Ends that were acknowledged to their worker before its lease lapsed.
+    /// Such an end stands for good; any other may be as if the run never was.
+    [[nodiscard]] const std::vector<worker_event>& noted_ends() const noexcept
+    {
+        return noted_ends_;
+    }
     /// Number of runs in progress on all workers.
     [[nodiscard]] std::size_t running() const;
     /// The highest fencing token that the worker has seen.
@@ -150,6 +156,8 @@
     clock_of(const incarnation_state& worker) const;
     void extend(incarnation_state& worker, worker_instant until);
     void expire_lease(incarnation_state& worker);
+    /// Forgets ends up to a number, as the caller has acknowledged them.
+    void acknowledge(incarnation_state& worker, std::uint64_t acknowledged);
     void finish(
         incarnation_state& worker,
         const fleet::task_ref& task,
@@ -172,6 +180,7 @@
     settings options_;
     std::map<worker_id, std::shared_ptr<incarnation_state>> workers_;
     std::vector<worker_event> events_;
+    std::vector<worker_event> noted_ends_;
     std::uint64_t next_incarnation_ = 1;
     std::uint64_t calls_ = 0;
 };
--- a/tests/fleet/replaced_owner_test.cpp
+++ b/tests/fleet/replaced_owner_test.cpp
@@ -47,6 +47,65 @@
     CHECK(world.starts_of(holds_a ? "a" : "b").size() == 2);
 }
 
+// Guards against a task that starts again after it was done: an owner that was
+// replaced while its process stood still extended, when it went on, the lease
+// of a worker on which a run ended around that time. Its successor, which did
+// not reach the worker, started the task again before that lease ended, and
+// then acknowledged the end of the first run.
+TEST_CASE(
+    "a replaced owner does not keep an end alive that its successor cannot see",
+    "[fleet]")
+{
+    // The end of the run, from the beginning of the pause on. The last one is
+    // later than any lease that was granted before the pause.
+    const milliseconds end = GENERATE(500ms, 2'500ms, 4'000ms, 5'500ms);
+    constexpr milliseconds pause{4'400};
+    CAPTURE(end.count());
+    fleet_world world(2, 1);
+    world.workers.behaviour = [](const fleet::task_ref& task)
+    {
+        return standin::task_behaviour{
+            task.step.job == job_id("short") ? 1s : 60s, false};
+    };
+    world.submit("a", {tasks(1, 9)});
+    world.run(500ms);
+    world.submit("short", {tasks(1)});
+    REQUIRE(world.run_until("short", job_state::running, 1s));
+    auto& predecessor = *world.owner_vm();
+    auto& successor = *world.vms[&predecessor == world.vms[0].get() ? 1 : 0];
+    const auto first = world.starts_of("a").front();
+    successor.orders.cut.insert(first.worker);
+    world.add_worker("w1");
+    // Between the end of a run and the status poll that acknowledges it, so
+    // that no poll is in flight to that worker.
+    while (world.workers.running() == 2)
+    {
+        world.run(1ms);
+    }
+    world.run(2ms);
+    predecessor.pause(pause);
+    world.run(end);
+    world.workers.end_runs(first.task, fleet::run_end::done);
+    for (int n = 0; n < 20'000 && world.starts_of("a").size() == 1; ++n)
+    {
+        world.run(1ms);
+    }
+    REQUIRE(world.starts_of("a").size() == 2);
+    REQUIRE(world.owner_vm() == &successor);
+    successor.orders.cut.clear();
+    world.run(5s);
+    REQUIRE(world.workers.acknowledged_of(first.worker) == 2);
+    const auto& noted = world.workers.noted_ends();
+    CHECK(std::none_of(
+        noted.begin(),
+        noted.end(),
+        [&](const standin::worker_event& each)
+        {
+            return each.how == fleet::run_end::done && each.run == first.run &&
+                   each.task == first.task;
+        }));
+}
+
 // Guards against a task that runs twice: an owner that was cut off from the
 // store and from every worker that its successor had sealed went on extending
 // leases of the others, beyond the end that the successor waited for.
