--- a/tests/fleet/take_over_test.cpp
+++ b/tests/fleet/take_over_test.cpp
@@ -86,6 +86,44 @@
     CHECK(world.broken_promises().empty());
 }
 
+// Guards against a task that runs twice: a new owner read the record of a
+// worker that is out of sight before it read the job of a run listed there, and
+// ignored the run.
+TEST_CASE(
+    "a run on an absent worker whose job a new owner reads later still counts",
+    "[fleet][known-red]")
+{
+    replaced_owner_world world(2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{30s, false};
+    };
+    // The successor reads the jobs, and its fence is stored late.
+    world.successor->store_client.rejected_appends.insert(
+        fleet::topics::progress);
+    world.replace();
+    world.run(10ms);
+    world.submit_through(*world.predecessor, "a", {tasks(1, 9)});
+    world.run(100ms);
+    REQUIRE(world.starts_of("a").size() == 1);
+    const worker_id worker = world.starts_of("a").front().worker;
+    world.workers.faults_of(worker).silent = true;
+    for (int n = 0;
+         n < 3'000 && world.events.count(event_number::worker_noted) == 0;
+         ++n)
+    {
+        world.run(1ms);
+    }
+    REQUIRE(world.events.count(event_number::worker_noted) == 1);
+    world.run(100ms);
+    REQUIRE(world.workers.running() == 1);
+    world.predecessor->kill();
+    world.store.long_polls_ignore_appends = false;
+    world.successor->store_client.rejected_appends.clear();
+    world.run(20s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against a task that runs twice: a job that was passed on to a new
 // owner counted as unknown to the predecessor, which had started it on a worker
 // that the new owner had not heard from.
