--- a/tests/fleet/take_over_test.cpp
+++ b/tests/fleet/take_over_test.cpp
@@ -44,6 +44,25 @@
             id, store.newest(fleet::topics::jobs, id)));
     }
 
+    /// Stores a job with two occurrences an hour apart.
+    void submit_recurring(
+        const std::string& id,
+        const fleet::step_spec& step,
+        fleet::wall_time first_due)
+    {
+        fleet::accepted_job job;
+        job.id = job_id(id);
+        job.queue = queue_name("work");
+        job.account = fleet::account_name("acct");
+        job.request.steps = {step};
+        job.request.occurrences = 2;
+        job.request.first_due = first_due;
+        job.request.interval = 1h;
+        job.settings_at_acceptance = *config.find(job.queue);
+        specs[{job.id, 0, 0}] = step;
+        store.put(fleet::topics::jobs, id, encode(job));
+    }
+
     vm* predecessor = nullptr;
     vm* successor = nullptr;
 };
@@ -134,6 +153,62 @@
     CHECK(world.broken_promises().empty());
 }
 
+// Guards against a task that runs twice: a new owner restored the runs on
+// absent workers before it opened the occurrences of recurring jobs, and
+// ignored them.
+TEST_CASE(
+    "a recurring job's run on an absent worker still counts for a new owner",
+    "[fleet][known-red]")
+{
+    replaced_owner_world world(2);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{30s, false};
+    };
+    world.submit_recurring("a", tasks(1, 9), world.clock.wall() + 500ms);
+    world.run(1s);
+    REQUIRE(world.starts_of("a").size() == 1);
+    const worker_id worker = world.starts_of("a").front().worker;
+    world.workers.faults_of(worker).silent = true;
+    for (int n = 0;
+         n < 3'000 && world.events.count(event_number::worker_noted) == 0;
+         ++n)
+    {
+        world.run(1ms);
+    }
+    REQUIRE(world.events.count(event_number::worker_noted) == 1);
+    world.run(100ms);
+    REQUIRE(world.workers.running() == 1);
+    world.predecessor->kill();
+    world.run(20s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that starts again after it was done: a new owner whose
+// clock is behind ignored an end in an occurrence that is not due by that
+// clock, and acknowledged it.
+TEST_CASE(
+    "an end counts for a new owner whose clock is behind the time it was due",
+    "[fleet][known-red]")
+{
+    replaced_owner_world world(1);
+    const bool ended = GENERATE(false, true);
+    CAPTURE(ended);
+    world.workers.behaviour = [ended](const fleet::task_ref&) {
+        return standin::task_behaviour{ended ? 1s : 4s, false};
+    };
+    world.submit_recurring("a", tasks(1), world.clock.wall() + 500ms);
+    world.run(1s);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.predecessor->kill();
+    world.clock.step_wall(-5s);
+    world.run(20s);
+    REQUIRE(world.owner_vm() == world.successor);
+    REQUIRE(world.workers.acknowledged_of(worker_id("w0")) > 0);
+    CHECK(world.starts_of("a").size() == 1);
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against a task that runs twice: a job that was passed on to a new
 // owner counted as unknown to the predecessor, which had started it on a worker
 // that the new owner had not heard from.
