--- a/src/fleet/job_tracker.cpp
+++ b/src/fleet/job_tracker.cpp
@@ -97,6 +97,23 @@
     }
 }
 
+void job_tracker::open_occurrences(job_entry& job, std::size_t count)
+{
+    while (job.occurrences.size() < count &&
+           job.occurrences.size() < job.occurrence_count())
+    {
+        open_occurrence(job, job.known_since);
+    }
+}
+
+void job_tracker::open_reported_occurrence(const step_id& step)
+{
+    if (job_entry* job = find(step.job); job != nullptr && !job->is_final())
+    {
+        open_occurrences(*job, std::size_t{step.occurrence} + 1);
+    }
+}
+
 wall_time job_tracker::open_due_occurrences(wall_time wall, instant now)
 {
     wall_time next = wall_time::max();
@@ -142,11 +159,7 @@
 
 void job_tracker::apply_progress(job_entry& job, const job_progress& progress)
 {
-    while (job.occurrences.size() < progress.steps.size() &&
-           job.occurrences.size() < job.occurrence_count())
-    {
-        open_occurrence(job, job.known_since);
-    }
+    open_occurrences(job, progress.steps.size());
     for (std::size_t k = 0; k < progress.steps.size(); ++k)
     {
         for (std::size_t s = 0;
@@ -264,6 +277,7 @@
     const worker_id& worker,
     const std::string& checkpoint)
 {
+    open_reported_occurrence(task.step);
     job_entry* job = find(task.step.job);
     step_entry* step = find(task.step);
     task_entry* entry = find(task);
@@ -361,6 +375,7 @@
     std::uint32_t attempts,
     wall_time wall)
 {
+    open_reported_occurrence(task.step);
     job_entry* job = find(task.step.job);
     task_entry* entry = find(task);
     if (job == nullptr || entry == nullptr)
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -275,6 +275,11 @@
     void add_ended(const job_id& id, const job_progress& progress);
     void apply_progress(job_entry& job, const job_progress& progress);
     void open_occurrence(job_entry& job, instant now);
+    /// Opens the first `count` occurrences, as far as the job has them.
+    void open_occurrences(job_entry& job, std::size_t count);
+    /// Opens the occurrence of a run that a worker or a record tells of. It was
+    /// due by the clock of the owner that started the run, if not by this one.
+    void open_reported_occurrence(const step_id& step);
     void finish(job_entry& job, job_state state, wall_time wall);
     void close(job_entry& job);
     end_effect fail_task(
--- a/tests/fleet/take_over_test.cpp
+++ b/tests/fleet/take_over_test.cpp
@@ -158,7 +158,7 @@
 // ignored them.
 TEST_CASE(
     "a recurring job's run on an absent worker still counts for a new owner",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     replaced_owner_world world(2);
     world.workers.behaviour = [](const fleet::task_ref&) {
@@ -189,7 +189,7 @@
 // clock, and acknowledged it.
 TEST_CASE(
     "an end counts for a new owner whose clock is behind the time it was due",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     replaced_owner_world world(1);
     const bool ended = GENERATE(false, true);
