--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -68,6 +68,8 @@
     connection_ptr conn;
     std::optional<http::response_parser<http::string_body>> parser;
     timer_service::timer_id timer = 0;
+    timer_service::timer_id introduction_timer = 0;
+    bool introduction_repeated = false;
     bool reused = false;
     bool sent = false;
     bool unanswered_copy = false;
@@ -217,12 +219,32 @@
 void http_client::introduce(const exchange_ptr& call_state)
 {
     ++counts_.introductions;
-    auto received = [this, call_state](error_code failed)
+    const bool waits = !call_state->introduction_repeated;
+    if (waits)
     {
-        if (failed)
+        call_state->introduction_timer = timers_.after(
+            call_state->check.introduction_timeout,
+            [call_state]
+            {
+                if (!call_state->finished)
+                {
+                    call_state->introduction_repeated = true;
+                    call_state->conn->close(); // Ends the transfer.
+                }
+            });
+    }
+    auto received = [this, call_state, waits](error_code failed)
+    {
+        if (waits)
+        {
+            timers_.cancel(call_state->introduction_timer);
+        }
+        // Also if the response came while the connection was closed.
+        const bool gave_up = waits && call_state->introduction_repeated;
+        if (failed || gave_up)
         {
             call_state->conn->close();
-            if (call_state->reused)
+            if (call_state->reused || gave_up)
             {
                 start(call_state, true);
                 return;
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "domain/instant.hpp"
 #include "domain/verdict.hpp"
 
 #include <boost/beast/http/message.hpp>
@@ -89,6 +90,9 @@
     /// process is not known, if one is required. It must do no harm in any
     /// process at the endpoint.
     std::function<http_request()> introduction;
+    /// If there is no response to the introduction for this long, it is sent
+    /// once more on a new connection.
+    milliseconds introduction_timeout{200};
     /// Reads the identity from a response to the introduction of status 200.
     identity_reader introduction_identity;
     /// Reads the identity from a response to the request, of any status. May be
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -354,6 +354,29 @@
     CHECK(at.received == bodies{"hello"});
 }
 
+// Guards against orders that fail twice as often on a network that loses calls:
+// they waited for the introduction until they timed out.
+TEST_CASE("an introduction without a response is sent once more", "[net]")
+{
+    peer_fixture at;
+    std::vector<http_responder> held;
+    const auto as_usual = at.answer;
+    at.answer = [&](const http_request& request, http_responder respond)
+    {
+        if (at.received.size() == 1)
+        {
+            held.push_back(std::move(respond));
+            return;
+        }
+        as_usual(request, std::move(respond));
+    };
+    const http_outcome outcome = at.call_to(1, "order", 10s);
+    CHECK(outcome.answered());
+    CHECK_FALSE(outcome.unanswered_copy);
+    CHECK(at.received == bodies{"hello", "hello", "order"});
+    CHECK(at.client.counts().connects == 2);
+}
+
 // Guards against a caller that waits for the effect of a request that was never
 // sent, and against one that does not where it was.
 TEST_CASE("a timeout tells whether the request itself was sent", "[net]")
