--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -361,6 +361,12 @@
     fleet::completion<fleet::start_answer> done)
 {
     const auto known = workers_.find(target.id);
+    if (starts_on_known_connections && known != workers_.end() &&
+        known->second->about.incarnation != target.incarnation)
+    {
+        done(refuse(refusal_code::unreachable, "the connection has ended"));
+        return;
+    }
     if (known != workers_.end() &&
         known->second->active_faults.earlier_copy.count() > 0)
     {
@@ -383,6 +389,10 @@
             {
                 answer->unanswered_copy = true;
             }
+            else
+            {
+                answer.error().effect = verdict::may_have_run;
+            }
             done(std::move(answer));
         };
     }
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -96,6 +96,10 @@
     /// Orders that were sent to an earlier incarnation of a worker are carried
     /// out by the present one when they arrive late.
     bool orders_outlive_restarts = false;
+    /// Start orders for an earlier incarnation of a worker are not sent, as by
+    /// a client that sends them only over connections on which the incarnation
+    /// that they are for has answered.
+    bool starts_on_known_connections = false;
     std::function<task_behaviour(const fleet::task_ref&)> behaviour;
     std::function<resources(const fleet::task_ref&)> needs;
     /// Number of tasks in the gang of a task; zero or one if it is in no gang.
--- /dev/null
+++ b/tests/fleet/fleet_soak_test.cpp
@@ -0,0 +1,403 @@
+#include "support/fleet_world.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace acaciastile;
+using namespace acaciastile::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Disrupts a fleet at random times, several disruptions at once, and compares
+/// what the workers did with their capacities.
+class fleet_soak
+{
+public:
+    fleet_soak(std::uint64_t seed, bool keep_ids)
+        : random_(seed), keep_ids_(keep_ids), world_(3, worker_count)
+    {
+        world_.workers.starts_on_known_connections = true;
+        world_.store.page_records = chance(30) ? 20 : 10'000;
+        for (std::size_t n = 0; n < worker_count; ++n)
+        {
+            note_life(worker_id("w" + std::to_string(n)), 16);
+        }
+        world_.workers.behaviour = [this](const fleet::task_ref&)
+        {
+            return standin::task_behaviour{
+                milliseconds(between(100, 4'000)), chance(10)};
+        };
+    }
+
+    void run(milliseconds span)
+    {
+        const instant end = world_.clock.now() + span;
+        while (world_.clock.now() < end)
+        {
+            world_.run(milliseconds(between(1, 120)));
+            if (chance(45))
+            {
+                submit();
+            }
+            if (chance(35))
+            {
+                disrupt();
+            }
+        }
+    }
+
+    /// Starts that broke a rule, as text.
+    [[nodiscard]] std::vector<std::string> broken() const;
+
+    [[nodiscard]] std::size_t starts() const
+    {
+        const auto& events = world_.workers.events();
+        return static_cast<std::size_t>(std::count_if(
+            events.begin(),
+            events.end(),
+            [](const standin::worker_event& each)
+            { return each.what == standin::worker_event::kind::started; }));
+    }
+
+private:
+    static constexpr std::size_t worker_count = 6;
+
+    /// One life of a worker.
+    struct life
+    {
+        instant born{};
+        resources capacity;
+    };
+
+    int between(int least, int most)
+    {
+        return std::uniform_int_distribution<int>(least, most)(random_);
+    }
+    bool chance(int percent) { return between(1, 100) <= percent; }
+    void later(milliseconds delay, std::function<void()> work)
+    {
+        world_.clock.after(delay, std::move(work));
+    }
+    void note_life(const worker_id& id, std::int64_t cores)
+    {
+        constexpr std::int64_t mib = 64 * 1'024;
+        lives_[id].push_back({world_.clock.now(), {cores * 1'000, mib, 0}});
+        names_.insert(id);
+    }
+    [[nodiscard]] bool is_registered(const worker_id& id) const
+    {
+        return !world_.store.newest("registry", id.str()).empty();
+    }
+    [[nodiscard]] worker_id any_worker()
+    {
+        auto at = names_.begin();
+        std::advance(at, between(0, static_cast<int>(names_.size()) - 1));
+        return *at;
+    }
+    fleet_world::vm& any_vm()
+    {
+        if (fleet_world::vm* owner = world_.owner_vm();
+            owner != nullptr && chance(60))
+        {
+            return *owner;
+        }
+        return *world_.vms[static_cast<std::size_t>(
+            between(0, static_cast<int>(world_.vms.size()) - 1))];
+    }
+    milliseconds span() { return milliseconds(between(50, 7'000)); }
+
+    void submit();
+    void disrupt();
+    void disrupt_worker();
+    void disrupt_vm();
+    void restart(const worker_id& id);
+
+    std::mt19937_64 random_;
+    bool keep_ids_;
+    std::map<worker_id, std::vector<life>> lives_;
+    std::set<worker_id> names_;
+    int jobs_ = 0;
+    int replacements_ = 0;
+    fleet_world world_;
+};
+
+void fleet_soak::submit()
+{
+    const std::string id = "j" + std::to_string(jobs_++);
+    std::vector<fleet::step_spec> steps{
+        tasks(static_cast<std::uint32_t>(between(1, 8)), between(1, 7))};
+    steps.back().gang = chance(15);
+    if (chance(20))
+    {
+        steps.push_back(tasks(static_cast<std::uint32_t>(between(1, 3)), 2));
+        steps.back().after = {0};
+    }
+    world_.submit(id, std::move(steps));
+    if (chance(20))
+    {
+        later(
+            milliseconds(between(0, 2'000)),
+            [this, id]
+            {
+                if (const auto owner = world_.owner())
+                {
+                    owner->cancel(job_id(id), [](const result<bool>&) {});
+                }
+            });
+    }
+}
+
+void fleet_soak::restart(const worker_id& id)
+{
+    if (keep_ids_)
+    {
+        if (!is_registered(id))
+        {
+            return;
+        }
+        const std::int64_t cores = chance(50) ? 16 : 8;
+        world_.restart_worker(id.str(), cores, milliseconds(between(0, 1'500)));
+        note_life(id, cores);
+        return;
+    }
+    // Its place is taken by another worker.
+    world_.workers.restart(id);
+    world_.workers.faults_of(id).silent = true;
+    world_.store.put("registry", id.str(), "");
+    names_.erase(id);
+    const std::string name = "r" + std::to_string(replacements_++);
+    world_.add_worker(name);
+    note_life(worker_id(name), 16);
+}
+
+void fleet_soak::disrupt_worker()
+{
+    const worker_id id = any_worker();
+    standin::worker_pool::faults& faults = world_.workers.faults_of(id);
+    const auto undo = [this, id](auto end)
+    { later(span(), [this, id, end] { end(world_.workers.faults_of(id)); }); };
+    using known = standin::worker_pool::faults;
+    switch (between(0, 9))
+    {
+    case 0:
+        faults.silent = true;
+        undo([](known& each) { each.silent = false; });
+        break;
+    case 1:
+        faults.refusing = true;
+        undo([](known& each) { each.refusing = false; });
+        break;
+    case 2:
+        faults.losing_stops = true;
+        undo([](known& each) { each.losing_stops = false; });
+        break;
+    case 3:
+        faults.losing_answers = true;
+        undo([](known& each) { each.losing_answers = false; });
+        break;
+    case 4:
+        faults.late = milliseconds(between(500, 12'000));
+        undo([](known& each) { each.late = {}; });
+        break;
+    case 5:
+        faults.earlier_copy = milliseconds(between(500, 12'000));
+        undo([](known& each) { each.earlier_copy = {}; });
+        break;
+    case 6:
+        faults.order_transit = milliseconds(between(5, 300));
+        faults.report_transit = milliseconds(between(5, 300));
+        undo([](known& each)
+             { each.order_transit = each.report_transit = {}; });
+        break;
+    case 8:
+        if (is_registered(id))
+        {
+            world_.register_worker(id.str(), "draining");
+            if (chance(50))
+            {
+                later(
+                    span(),
+                    [this, id]
+                    {
+                        if (is_registered(id))
+                        {
+                            world_.register_worker(id.str());
+                        }
+                    });
+            }
+        }
+        break;
+    case 7:
+    {
+        // Its registration expires and comes back.
+        if (!is_registered(id))
+        {
+            break;
+        }
+        const std::string value = world_.store.newest("registry", id.str());
+        world_.store.put("registry", id.str(), "");
+        const std::size_t life = lives_[id].size();
+        later(
+            span(),
+            [this, id, value, life]
+            {
+                if (names_.contains(id) && lives_[id].size() == life)
+                {
+                    world_.store.put("registry", id.str(), value);
+                }
+            });
+        break;
+    }
+    default:
+        restart(id);
+        break;
+    }
+}
+
+void fleet_soak::disrupt_vm()
+{
+    fleet_world::vm& vm = any_vm();
+    switch (between(0, 6))
+    {
+    case 5:
+        world_.store.mode = standin::store_mode::applying_late;
+        world_.store.apply_delay = milliseconds(between(500, 6'000));
+        later(
+            milliseconds(between(100, 2'000)),
+            [this] { world_.store.mode = standin::store_mode::healthy; });
+        break;
+    case 6:
+        if (vm.leadership == nullptr)
+        {
+            break;
+        }
+        vm.stop();
+        later(
+            milliseconds(between(300, 2'000)),
+            [&vm]
+            {
+                vm.kill();
+                vm.start();
+            });
+        break;
+    case 0:
+        vm.kill();
+        later(milliseconds(between(100, 2'000)), [&vm] { vm.start(); });
+        break;
+    case 1:
+        vm.pause(span());
+        break;
+    case 2:
+        vm.store_client.requests_rejected = true;
+        later(span(), [&vm] { vm.store_client.requests_rejected = false; });
+        break;
+    case 3:
+        for (const worker_id& id : names_)
+        {
+            if (chance(40))
+            {
+                vm.orders.cut.insert(id);
+            }
+        }
+        later(span(), [&vm] { vm.orders.cut.clear(); });
+        break;
+    default:
+        world_.store.mode = chance(50) ? standin::store_mode::silent
+                                       : standin::store_mode::losing_answers;
+        later(
+            milliseconds(between(100, 3'000)),
+            [this] { world_.store.mode = standin::store_mode::healthy; });
+        break;
+    }
+}
+
+void fleet_soak::disrupt()
+{
+    if (chance(75))
+    {
+        disrupt_worker();
+        return;
+    }
+    disrupt_vm();
+}
+
+std::vector<std::string> fleet_soak::broken() const
+{
+    using kind = standin::worker_event::kind;
+    using run_id = std::pair<worker_id, fleet::run_number>;
+    std::vector<std::string> found;
+    std::map<worker_id, resources> used;
+    std::map<fleet::task_ref, std::set<run_id>> live;
+    for (const standin::worker_event& each : world_.workers.events())
+    {
+        const resources needs =
+            fleet::resources_needed(world_.specs.at(each.task.step));
+        auto& runs = live[each.task];
+        if (each.what == kind::ended)
+        {
+            used[each.worker] -= needs;
+            runs.erase({each.worker, each.run});
+            continue;
+        }
+        const std::string text =
+            each.task.step.job.str() + "." + std::to_string(each.task.index) +
+            " run " + std::to_string(each.run) + " on " + each.worker.str() +
+            " at " + std::to_string(each.at.time_since_epoch().count());
+        used[each.worker] += needs;
+        runs.emplace(each.worker, each.run);
+        if (runs.size() > 1)
+        {
+            found.push_back("two runs: " + text);
+        }
+        resources capacity;
+        for (const life& known : lives_.at(each.worker))
+        {
+            if (known.born <= each.at)
+            {
+                capacity = known.capacity;
+            }
+        }
+        if (!used[each.worker].fits_in(capacity))
+        {
+            found.push_back("over capacity: " + text);
+        }
+    }
+    return found;
+}
+
+/// A number from the environment, for long runs by hand.
+int setting(const char* name, int otherwise)
+{
+    const char* text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return text == nullptr ? otherwise : std::stoi(text);
+}
+
+} // namespace
+
+// Guards against workers over their capacity and tasks that run twice while
+// workers, VMs and the store fail at the same time.
+TEST_CASE("a soak brings no worker over its capacity", "[fleet][soak]")
+{
+    const bool keep_ids = GENERATE(false, true);
+    const int first = setting("ACACIASTILE_SOAK_FIRST", 1);
+    const int seeds = setting("ACACIASTILE_SOAK_SEEDS", 8);
+    std::size_t starts = 0;
+    for (int seed = first; seed < first + seeds; ++seed)
+    {
+        fleet_soak soak(static_cast<std::uint64_t>(seed), keep_ids);
+        soak.run(60s);
+        const std::vector<std::string> broken = soak.broken();
+        CAPTURE(keep_ids, seed, broken);
+        CHECK(broken.empty());
+        starts += soak.starts();
+    }
+    CHECK(starts > 100 * static_cast<std::size_t>(seeds));
+}
