--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -125,6 +125,25 @@
     CHECK(world.workers.running() == 2);
 }
 
+// Guards against starts over a worker's capacity: an idle worker, whose restart
+// no status poll tells, took orders that were decided by the capacity of its
+// earlier incarnation.
+TEST_CASE(
+    "an idle worker that restarts is not filled by its earlier capacity",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{10s, false};
+    };
+    world.run(500ms);
+    world.restart_worker("w0", 8, 10ms);
+    world.submit("a", {tasks(4, 4)});
+    world.run(2s);
+    CHECK(world.broken_promises().empty());
+    CHECK(world.workers.running() == 2);
+}
+
 // Guards against an account over its cap after a take-over: the new owner did
 // not count what may run on workers that it has not heard from yet.
 TEST_CASE(
