--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -428,6 +428,10 @@
             {
                 answer->unanswered_copy = true;
             }
+            else
+            {
+                answer.error().effect = verdict::may_have_run;
+            }
             done(std::move(answer));
         };
     }
