--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -206,8 +206,7 @@
     worker_entry& worker, worker_instant clock, instant sent_at)
 {
     const instant now = ports_.clock.now();
-    const worker_instant lowest = workers_.lowest_clock(worker, sent_at);
-    if (clock >= lowest)
+    if (!workers_.is_clock_reset(worker, clock, sent_at))
     {
         workers_.note_clock(worker, clock, sent_at, now);
         return;
@@ -216,7 +215,9 @@
         {event_number::worker_clock_reset,
          {{"worker", worker.registration.id.str()},
           {"clock", text_of(clock.time_since_epoch())},
-          {"lowest", text_of(lowest.time_since_epoch())}}});
+          {"lowest",
+           text_of(
+               workers_.lowest_clock(worker, sent_at).time_since_epoch())}}});
     // The lease in the order was far ahead on the clock that started anew.
     worker.foreign_lease_expired_at =
         std::max(worker.foreign_lease_expired_at, longest_lease_end(now));
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -235,6 +235,14 @@
                static_cast<double>(since.count()) * settings_.slowest_clock));
 }
 
+bool worker_table::is_clock_reset(
+    const worker_entry& worker, worker_instant clock, instant asked) const
+{
+    // Both readings and both times of the VM may be cut by up to 1 ms.
+    constexpr milliseconds rounding{4};
+    return clock + rounding < lowest_clock(worker, asked);
+}
+
 worker_instant worker_table::extend_lease(worker_entry& worker, instant now)
 {
     // By the slowest clock: a reading may be old, and no lease may end later
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -228,6 +228,11 @@
     [[nodiscard]] worker_instant
     lowest_clock(const worker_entry& worker, instant at) const;
 
+    /// True if a reading that was requested at an instant shows that the
+    /// worker's clock started anew. Readings are whole milliseconds.
+    [[nodiscard]] bool is_clock_reset(
+        const worker_entry& worker, worker_instant clock, instant asked) const;
+
     /// Computes the lease to send to the worker now, on the worker's clock. It
     /// is recorded as granted, since the call that carries it may arrive even
     /// if it is not answered.
--- a/tests/fleet/worker_table_test.cpp
+++ b/tests/fleet/worker_table_test.cpp
@@ -137,3 +137,19 @@
     // Earlier, a clock that is slow by now showed less.
     CHECK(workers.lowest_clock(worker, read - 980ms) == worker_instant(49s));
 }
+
+// Guards against a restart that is seen where none was: a clock that is 2% slow
+// and readings in whole milliseconds.
+TEST_CASE("a slow clock that is read in whole milliseconds is not reset")
+{
+    worker_table workers;
+    workers.upsert(registration_of("w0", "svc", 16));
+    worker_entry& worker = *workers.find(worker_id("w0"));
+    const instant read(100s);
+    workers.note_clock(worker, worker_instant(50s), read - 1ms, read);
+    const instant asked = read + 10s;
+    CHECK_FALSE(
+        workers.is_clock_reset(worker, worker_instant(59'799ms), asked));
+    CHECK(workers.is_clock_reset(worker, worker_instant(59'700ms), asked));
+    CHECK(workers.is_clock_reset(worker, worker_instant(1s), asked));
+}
