--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -290,14 +290,21 @@
 void fleet_owner::seal(worker_entry& worker, const worker_status& status)
 {
     worker.sealed = true;
-    // Calls for an earlier incarnation are rejected from now on. One of an
-    // earlier owner may have arrived if the present incarnation is so young.
+    const instant expired_at = longest_lease_end(ports_.clock.now());
+    // A call of an earlier owner may have arrived before if the present
+    // incarnation is so young.
     const bool may_have_foreign_lease =
         token_ > first_token &&
         status.clock.time_since_epoch() < unsettled_order_table::longest_delay;
-    if (worker.seal_token > 0 || may_have_foreign_lease)
+    if (worker.seal_token > 0)
     {
-        worker.foreign_lease_expired_at = longest_lease_end(ports_.clock.now());
+        // Calls for the earlier incarnation are rejected from now on.
+        worker.foreign_lease_expired_at = expired_at;
+    }
+    else if (may_have_foreign_lease)
+    {
+        worker.foreign_lease_expired_at =
+            std::max(worker.foreign_lease_expired_at, expired_at);
     }
     ports_.events.emit(
         {event_number::fleet_worker_sealed,
--- a/tests/fleet/replaced_owner_test.cpp
+++ b/tests/fleet/replaced_owner_test.cpp
@@ -329,6 +329,45 @@
     CHECK(world.broken_promises().empty());
 }
 
+// Guards against a task that runs twice: a worker restarts while the store
+// takes no renewal, so that its token can't be raised, and takes a late poll
+// for its earlier incarnation after it was sealed.
+TEST_CASE("a late lease is counted where the token can't be raised", "[fleet]")
+{
+    fleet_world world(2, 1);
+    world.workers.orders_outlive_restarts = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{60s, false};
+    };
+    const worker_id worker("w0");
+    world.submit("a", {tasks(1)});
+    world.run(1s);
+    const std::uint64_t before = world.workers.token_of(worker);
+    world.owner_vm()->kill();
+    while (world.workers.token_of(worker) == before)
+    {
+        world.run(1ms);
+    }
+    world.store.mode = standin::store_mode::silent;
+    world.run(15s);
+    world.workers.faults_of(worker).late = 4s;
+    world.run(1'100ms); // The next poll is carried out late.
+    world.workers.faults_of(worker).late = 0ms;
+    world.restart_worker("w0", 16, 0ms);
+    world.run(500ms);
+    world.store.mode = standin::store_mode::healthy;
+    while (world.starts_of("a").size() < 2)
+    {
+        world.run(1ms);
+    }
+    world.run(4s);
+    world.workers.faults_of(worker).silent = true;
+    world.add_worker("w1");
+    world.run(30s);
+    CHECK(world.starts_of("a").size() == 3);
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against lost work: workers without runs that are cut off count against
 // an owner without the store.
 TEST_CASE(
