--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -196,6 +196,9 @@
         ports_.events.emit(
             {event_number::worker_silent,
              {{"worker", id.str()},
+              {"address", worker->registration.address},
+              {"incarnation",
+               std::to_string(worker->registration.incarnation)},
               {"runs", std::to_string(worker->runs.size())},
               {"lease_left_ms",
                text_of(
@@ -309,6 +312,8 @@
     ports_.events.emit(
         {event_number::fleet_worker_sealed,
          {{"worker", worker.registration.id.str()},
+          {"address", worker.registration.address},
+          {"incarnation", std::to_string(worker.registration.incarnation)},
           {"running", std::to_string(status.running.size())},
           {"ended", std::to_string(status.ended.size())}}});
 }
