--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -26,6 +26,7 @@
     std::uint64_t acknowledged = 0;
     instant lapsed{}; ///< When the lease last lapsed.
     bool ended_by_restart = false;
+    bool crashed = false; ///< Its process has ended, and no other has begun.
     worker_pool::faults active_faults;
     std::vector<std::function<void()>> pending_holds;
 };
@@ -56,12 +57,18 @@
 {
     auto& at = workers_.at(id);
     fleet::worker_registration about = at->about;
-    for (const auto& [task, run] : at->runs)
+    end_process(*at);
+    return add(std::move(about));
+}
+
+void worker_pool::end_process(incarnation_state& worker)
+{
+    for (const auto& [task, run] : worker.runs)
     {
         events_.push_back(
             {worker_event::kind::ended,
              clock_.now(),
-             id,
+             worker.about.id,
              task,
              run,
              run_end::lapsed,
@@ -69,8 +76,34 @@
              {},
              {}});
     }
-    at->ended_by_restart = true;
-    return add(std::move(about));
+    worker.runs.clear();
+    worker.ended_by_restart = true;
+}
+
+void worker_pool::crash(const worker_id& id)
+{
+    incarnation_state& worker = *workers_.at(id);
+    if (worker.ended_by_restart)
+    {
+        return;
+    }
+    const auto runs = worker.runs;
+    end_process(worker);
+    worker.crashed = true;
+    for (const auto& [task, run] : runs)
+    {
+        break_gang(task, run);
+    }
+    std::vector<std::function<void()>> pending_holds;
+    pending_holds.swap(worker.pending_holds);
+    for (auto& each : pending_holds)
+    {
+        each();
+    }
+    if (on_crash)
+    {
+        on_crash(id);
+    }
 }
 
 worker_pool::faults& worker_pool::faults_of(const worker_id& id)
@@ -140,7 +173,7 @@
         time_out(verdict::may_have_run);
         return;
     }
-    if (at->second->active_faults.refusing)
+    if (at->second->active_faults.refusing || at->second->crashed)
     {
         done(refuse(refusal_code::unreachable, "refused"));
         return;
@@ -156,6 +189,12 @@
         way + (late.count() > 0 ? late : options_.latency),
         [this, target_worker, work, done, loses_reply]
         {
+            if (workers_.at(target_worker->about.id)->crashed)
+            {
+                done(refuse(
+                    refusal_code::unreachable, verdict::may_have_run, "reset"));
+                return;
+            }
             if (target_worker->ended_by_restart && !orders_outlive_restarts)
             {
                 return;
@@ -275,7 +314,15 @@
     {
         each();
     }
-    if (gang_size(task) <= 1 || how == run_end::done)
+    if (how != run_end::done)
+    {
+        break_gang(task, run);
+    }
+}
+
+void worker_pool::break_gang(const task_ref& task, fleet::run_number run)
+{
+    if (gang_size(task) <= 1)
     {
         return;
     }
@@ -394,6 +441,19 @@
          token,
          order.payload,
          order.checkpoint});
+    if (const auto delay = behaviour(order.task).crashes_after)
+    {
+        clock_.after(
+            *delay,
+            [this, sent_to = workers_.at(worker.about.id)]
+            {
+                if (!sent_to->ended_by_restart)
+                {
+                    crash(sent_to->about.id);
+                }
+            });
+        return answer;
+    }
     begin_execution(order.task, order.run);
     return answer;
 }
@@ -413,7 +473,8 @@
             known->second->active_faults.earlier_copy,
             [this, sent_to = known->second, token, lease_until, order]
             {
-                if (!sent_to->ended_by_restart || orders_outlive_restarts)
+                if (!workers_.at(sent_to->about.id)->crashed &&
+                    (!sent_to->ended_by_restart || orders_outlive_restarts))
                 {
                     begin(
                         *workers_.at(sent_to->about.id),
@@ -528,7 +589,14 @@
                   until,
                   target_worker = workers_.at(worker.about.id)]
     {
-        if (!*replied && !target_worker->ended_by_restart &&
+        if (!*replied && target_worker->crashed)
+        {
+            *replied = true;
+            done(refuse(
+                refusal_code::unreachable, verdict::may_have_run, "reset"));
+        }
+        else if (
+            !*replied && !target_worker->ended_by_restart &&
             !target_worker->active_faults.silent)
         {
             *replied = true;
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -38,6 +38,8 @@
 {
     milliseconds work{1'000};
     bool fails = false;
+    /// If set, the worker crashes this long after the task's start.
+    std::optional<milliseconds> crashes_after = {};
 };
 
 /// Simulates the fleet's workers according to the worker protocol. A worker
@@ -89,6 +91,9 @@
     /// Restarts a worker: its runs end, and a new incarnation has the same id.
     /// Returns the incarnation.
     std::uint64_t restart(const worker_id& id);
+    /// Crashes a worker: its runs end, and it refuses connections until it is
+    /// restarted or for good.
+    void crash(const worker_id& id);
     [[nodiscard]] faults& faults_of(const worker_id& id);
     /// Ends the active runs of a task in the given way.
     void end_runs(const fleet::task_ref& task, fleet::run_end how);
@@ -99,6 +104,8 @@
     bool orders_outlive_restarts = false;
     std::function<task_behaviour(const fleet::task_ref&)> behaviour;
     std::function<resources(const fleet::task_ref&)> needs;
+    /// Called when a worker has crashed.
+    std::function<void(const worker_id&)> on_crash;
     /// Number of tasks in the gang of a task; zero or one if it is in no gang.
     std::function<std::uint32_t(const fleet::task_ref&)> gang_size;
     /// Returns true if a start order carries a valid permit. By default every
@@ -182,6 +189,10 @@
         fleet::completion<fleet::worker_status> done);
     [[nodiscard]] fleet::worker_status
     status_of(const incarnation_state& worker) const;
+    /// Ends the other members of a run's gang, as one has ended.
+    void break_gang(const fleet::task_ref& member, fleet::run_number run);
+    /// Ends the worker's runs without a report, as its process has ended.
+    void end_process(incarnation_state& worker);
 
     fleet::scheduler_clock& clock_;
     settings options_;
--- /dev/null
+++ b/tests/fleet/crashing_tasks_test.cpp
@@ -0,0 +1,266 @@
+#include "support/fleet_world.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace acaciastile;
+using namespace acaciastile::test;
+using namespace std::chrono_literals;
+using fleet::job_state;
+
+namespace
+{
+
+/// Starts of a task that crashes each of its workers, at most: three crashes,
+/// and two more starts.
+constexpr std::size_t most_deadly_starts = 5;
+
+const job_id deadly("deadly");
+
+/// Lets the first task of the job `deadly` crash each worker that starts it;
+/// other tasks work for a time.
+void make_deadly(
+    fleet_world& world,
+    milliseconds crashes_after = 10ms,
+    milliseconds others_work = 1s)
+{
+    world.workers.behaviour =
+        [crashes_after, others_work](const fleet::task_ref& task)
+    {
+        standin::task_behaviour behaviour;
+        behaviour.work = others_work;
+        if (task.step.job == deadly && task.index == 0)
+        {
+            behaviour.crashes_after = crashes_after;
+        }
+        return behaviour;
+    };
+}
+
+/// Number of starts of the task that crashes its workers.
+std::size_t deadly_starts(const fleet_world& world)
+{
+    return world.starts_of(deadly.str()).size();
+}
+
+} // namespace
+
+// Guards against a task that crashes worker after worker: the end of a run that
+// was lost with its worker counted for nothing, so it was started for ever.
+TEST_CASE("a task that crashes its workers is given up", "[fleet][known-red]")
+{
+    const bool change_ids = GENERATE(false, true);
+    fleet_world world(2, 6);
+    world.crashes_change_ids = change_ids;
+    make_deadly(world);
+    world.submit(deadly.str(), {tasks(3)});
+    CHECK(world.run_until(deadly.str(), job_state::failed, 60s));
+    world.run(10s);
+    CHECK(deadly_starts(world) <= most_deadly_starts);
+    CHECK(deadly_starts(world) >= 2);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against a task that crashes worker after worker and whose crashes are
+// forgotten with the owner that saw them.
+TEST_CASE(
+    "crashes under a task outlast the owners that saw them",
+    "[fleet][known-red]")
+{
+    const bool change_ids = GENERATE(false, true);
+    const milliseconds killed_after{GENERATE(20, 500, 3300, 5500)};
+    fleet_world world(3, 6);
+    world.crashes_change_ids = change_ids;
+    make_deadly(world);
+    world.submit(deadly.str(), {tasks(1)});
+    std::size_t crashes = 0;
+    for (int kills = 0; kills < 4; ++kills)
+    {
+        for (int n = 0; n < 2'000 && world.crashes() == crashes; ++n)
+        {
+            world.run(10ms);
+        }
+        crashes = world.crashes();
+        world.run(killed_after);
+        if (fleet_world::vm* owner = world.owner_vm())
+        {
+            owner->kill();
+            world.run(300ms);
+            owner->start();
+        }
+    }
+    world.run(30s);
+    CAPTURE(change_ids, killed_after.count());
+    CHECK(deadly_starts(world) <= most_deadly_starts);
+    CHECK(world.view(deadly.str()).state == job_state::failed);
+}
+
+// Guards against a gang whose member crashes worker after worker.
+TEST_CASE(
+    "a gang with a member that crashes its workers is given up",
+    "[fleet][known-red]")
+{
+    const bool change_ids = GENERATE(false, true);
+    fleet_world world(2, 6);
+    world.crashes_change_ids = change_ids;
+    make_deadly(world);
+    fleet::step_spec gang = tasks(4, 9);
+    gang.gang = true;
+    world.submit(deadly.str(), {gang});
+    CHECK(world.run_until(deadly.str(), job_state::failed, 90s));
+    CHECK(deadly_starts(world) <= most_deadly_starts);
+}
+
+// Guards against a lasting task that crashes worker after worker: it is
+// restarted however it ends.
+TEST_CASE(
+    "a lasting task that crashes its workers is given up", "[fleet][known-red]")
+{
+    fleet_world world(2, 6);
+    make_deadly(world);
+    fleet::step_spec lasting = tasks(1);
+    lasting.long_running = true;
+    world.submit(deadly.str(), {lasting});
+    CHECK(world.run_until(deadly.str(), job_state::failed, 60s));
+    CHECK(deadly_starts(world) <= most_deadly_starts);
+}
+
+// Guards against a task that crashes its workers some time after its start, so
+// that others have started there since.
+TEST_CASE(
+    "a task that crashes its workers later is given up", "[fleet][known-red]")
+{
+    const milliseconds crashes_after{GENERATE(200, 700, 2000, 4000)};
+    fleet_world world(2, 6);
+    make_deadly(world, crashes_after);
+    world.submit(deadly.str(), {tasks(1)});
+    for (int n = 0; n < 150; ++n)
+    {
+        world.submit("other" + std::to_string(n), {tasks(2)});
+        world.run(400ms);
+    }
+    world.run(20s);
+    CAPTURE(crashes_after.count());
+    CHECK(deadly_starts(world) <= most_deadly_starts);
+    CHECK(world.view(deadly.str()).state == job_state::failed);
+}
+
+// Guards against tasks that are given up because another one crashed their
+// worker.
+TEST_CASE("tasks beside one that crashes its workers are done", "[fleet]")
+{
+    const bool change_ids = GENERATE(false, true);
+    fleet_world world(2, 3);
+    world.crashes_change_ids = change_ids;
+    world.config = fleet_world::plain_config();
+    make_deadly(world, 10ms, 2s);
+    world.submit(deadly.str(), {tasks(1)});
+    for (int n = 0; n < 12; ++n)
+    {
+        world.submit("other" + std::to_string(n), {tasks(3)});
+        world.run(100ms);
+    }
+    world.run(40s);
+    for (int n = 0; n < 12; ++n)
+    {
+        const std::string id = "other" + std::to_string(n);
+        CAPTURE(change_ids, id);
+        CHECK(world.view(id).state == job_state::completed);
+    }
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against tasks that are given up because their workers were cut off,
+// lost from sight or replaced: none of that is a crash.
+TEST_CASE("a task whose workers fall silent again and again is done", "[fleet]")
+{
+    fleet_world world(2, 6);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{12s, {}, {}};
+    };
+    const std::string id = "a";
+    world.submit(id, {tasks(1)});
+    std::size_t starts = 0;
+    for (int silences = 0; silences < 4; ++silences)
+    {
+        for (int n = 0; n < 4'000 && world.starts_of(id).size() == starts; ++n)
+        {
+            world.run(5ms);
+        }
+        REQUIRE(world.starts_of(id).size() > starts);
+        starts = world.starts_of(id).size();
+        const worker_id worker = world.starts_of(id).back().worker;
+        world.workers.faults_of(worker).silent = true;
+        if (silences % 2 == 1)
+        {
+            // Another worker takes its place, not its address.
+            world.store.put("registry", worker.str(), "");
+            world.add_worker("n" + std::to_string(silences));
+        }
+        else
+        {
+            world.clock.after(
+                7s,
+                [&world, worker]
+                { world.workers.faults_of(worker).silent = false; });
+        }
+    }
+    CHECK(world.run_until(id, job_state::completed, 60s));
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against tasks that are given up because the workers of their racks
+// crashed more than once for a cause of their own.
+TEST_CASE("tasks of racks that crash repeatedly are done", "[fleet]")
+{
+    const milliseconds pause{GENERATE(5000, 5700, 6300, 7000, 8100)};
+    fleet_world world(2, 0);
+    for (int n = 0; n < 8; ++n)
+    {
+        world.add_worker("w" + std::to_string(n), n % 2 == 0 ? "r1" : "r2");
+    }
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{3s, {}, {}};
+    };
+    for (int n = 0; n < 10; ++n)
+    {
+        world.submit("j" + std::to_string(n), {tasks(4)});
+    }
+    for (int crashes = 0; crashes < 4; ++crashes)
+    {
+        world.run(pause);
+        for (int n = crashes % 2; n < 8; n += 2)
+        {
+            world.workers.crash(worker_id("w" + std::to_string(n)));
+        }
+    }
+    world.run(60s);
+    for (int n = 0; n < 10; ++n)
+    {
+        const std::string id = "j" + std::to_string(n);
+        CAPTURE(pause.count(), id);
+        CHECK(world.view(id).state == job_state::completed);
+    }
+}
+
+// Guards against work that waits for a lease although its worker's process has
+// certainly ended: another process answers at its address.
+TEST_CASE(
+    "runs of a crashed worker end once another answers at its address",
+    "[fleet][known-red]")
+{
+    fleet_world world(1, 2);
+    world.crashes_change_ids = true;
+    world.crash_recovery = 1s;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, {}, {}};
+    };
+    world.submit("a", {tasks(1)});
+    world.run(1s);
+    REQUIRE(world.starts_of("a").size() == 1);
+    world.workers.crash(world.starts_of("a").front().worker);
+    world.run(2s);
+    CHECK(world.starts_of("a").size() == 2);
+    CHECK(world.broken_promises().empty());
+}
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -48,7 +48,7 @@
         return std::nullopt;
     }
     registration.id = worker_id(key);
-    registration.address = key;
+    registration.address = key.substr(0, key.find('~'));
     registration.service = fleet::service_name(service);
     registration.rack = rack_name(rack);
     registration.labels = {rack};
@@ -106,6 +106,7 @@
         const auto at = specs.find(task.step);
         return at != specs.end() && at->second.gang ? at->second.count : 0U;
     };
+    workers.on_crash = [this](const worker_id& id) { bring_back(id); };
     for (std::size_t n = 0; n < worker_count; ++n)
     {
         add_worker("w" + std::to_string(n));
@@ -128,7 +129,7 @@
 {
     fleet::worker_registration registration;
     registration.id = worker_id(id);
-    registration.address = id;
+    registration.address = id.substr(0, id.find('~'));
     registration.rack = rack_name(rack);
     registration.capacity = {cores * 1'000, gib * 1'024, 0};
     const std::uint64_t incarnation = workers.add(registration);
@@ -138,6 +139,47 @@
     store.put("registry", id, value.str());
 }
 
+void fleet_world::bring_back(const worker_id& crashed)
+{
+    constexpr milliseconds registration_kept{4'500};
+    ++crashes_;
+    const std::string id = crashed.str();
+    const auto before =
+        plain_records().read_registration(id, store.newest("registry", id));
+    if (!before)
+    {
+        return;
+    }
+    const std::int64_t cores = before->capacity.milli_processors / 1'000;
+    if (!crashes_change_ids)
+    {
+        clock.after(
+            crash_recovery, [this, id, cores] { restart_worker(id, cores); });
+        return;
+    }
+    clock.after(
+        registration_kept, [this, id] { store.put("registry", id, ""); });
+    clock.after(
+        crash_recovery,
+        [this, before = *before, cores]
+        {
+            add_worker(
+                before.address + "~" + std::to_string(++lives_),
+                before.rack.str(),
+                cores);
+        });
+}
+
+void fleet_world::resize_worker(const std::string& id, std::int64_t cores)
+{
+    const auto before =
+        plain_records().read_registration(id, store.newest("registry", id));
+    std::ostringstream value;
+    value << before->incarnation << " svc " << before->rack.str() << ' '
+          << cores << ' ' << before->capacity.memory_mib / 1'024 << " ready";
+    store.put("registry", id, value.str());
+}
+
 void fleet_world::restart_worker(
     const std::string& id, std::int64_t cores, milliseconds registers_after)
 {
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -19,7 +19,8 @@
 
 /// Text formats for the records of tests. The value of a registration is
 /// `INCARNATION SERVICE RACK CORES MEMORY STATE`, with the memory in GiB; that
-/// of a configuration is its revision.
+/// of a configuration is its revision. A worker whose id is `NAME~N` is at the
+/// address of the worker `NAME`.
 class plain_records final : public fleet::external_records
 {
 public:
@@ -79,6 +80,10 @@
     /// VMs call an owner whose renewals are overdue directly, and suspect it if
     /// it does not answer.
     bool peers_probe_owner = false;
+    /// How long a worker that has crashed stays away.
+    milliseconds crash_recovery{3'000};
+    /// It is back under another id at its address; its registration expires.
+    bool crashes_change_ids = false;
 
     /// One queue `work` of the service `svc` with two attempts and without a
     /// policy service, and one account `acct`.
@@ -98,6 +103,9 @@
         std::int64_t cores = 16,
         milliseconds registers_after = milliseconds{100});
 
+    /// Registers a worker with another capacity.
+    void resize_worker(const std::string& id, std::int64_t cores);
+
     /// Stores a job as the VM that accepts it does; the owner reads it from the
     /// jobs topic.
     void submit(
@@ -119,10 +127,19 @@
     [[nodiscard]] std::vector<standin::worker_event>
     starts_of(const std::string& job, std::uint32_t index = 0) const;
 
+    /// Number of workers that have crashed under their tasks.
+    [[nodiscard]] std::size_t crashes() const { return crashes_; }
+
     /// Violations of scheduling invariants found in the events of the workers:
     /// a task runs twice at a time or again after it is done, a worker is over
     /// capacity, or a step starts before its predecessors are done.
     [[nodiscard]] std::vector<std::string> broken_promises() const;
+
+private:
+    void bring_back(const worker_id& crashed);
+
+    std::size_t crashes_ = 0;
+    std::size_t lives_ = 0;
 };
 
 /// One VM: its leadership client and, while it owns the fleet, the owner.
