--- a/src/fleet/absent_worker_table.hpp
+++ b/src/fleet/absent_worker_table.hpp
@@ -46,6 +46,10 @@
     /// the store: a removed record counts until `confirm_stored`.
     [[nodiscard]] bool is_recorded(const worker_id& worker) const;
 
+    [[nodiscard]] bool has_changes() const noexcept
+    {
+        return !pending_changes_.empty();
+    }
     /// Takes the changes since the last call, as records to append.
     [[nodiscard]] std::vector<store_record> take_changes();
     /// All changes that were taken so far are stored.
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -28,7 +28,7 @@
     const instant now = ports_.clock.now();
     if (flushing_ || now < next_flush_)
     {
-        if (!flushing_ && jobs_.has_changes())
+        if (!flushing_ && (jobs_.has_changes() || absences_.has_changes()))
         {
             ports_.clock.after(
                 next_flush_ - now,
