--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -178,7 +178,12 @@
         for (const candidate& step : waiting)
         {
             const auto reserved = reserved_workers_.find(step.step->id);
-            if (reserved != reserved_workers_.end())
+            if (reserved != reserved_workers_.end() &&
+                !can_hold(pass, step, reserved->second))
+            {
+                reserved_workers_.erase(reserved);
+            }
+            else if (reserved != reserved_workers_.end())
             {
                 for (const worker_handle worker : reserved->second)
                 {
@@ -774,6 +779,24 @@
     return false;
 }
 
+bool planner::can_hold(
+    const planning_pass& pass,
+    const candidate& step,
+    const std::vector<worker_handle>& reserved)
+{
+    std::size_t members = 0;
+    for (const worker_handle each : reserved)
+    {
+        const worker_entry* worker = pass.workers.at(each);
+        if (worker != nullptr && worker->listed)
+        {
+            members += static_cast<std::size_t>(members_that_fit(
+                worker->registration.capacity, *step.spec, step.needs));
+        }
+    }
+    return members >= step.step->tasks.size();
+}
+
 std::size_t planner::count_reserved() const
 {
     std::size_t count = 0;
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -221,6 +221,12 @@
     /// Reserves workers for a gang that does not fit yet, so that it fits once
     /// their present runs have ended.
     void reserve_workers(planning_pass& pass, candidate& step);
+    /// True if the gang fits on the workers that are reserved for it once they
+    /// are idle. They may have shrunk or left since.
+    [[nodiscard]] static bool can_hold(
+        const planning_pass& pass,
+        const candidate& step,
+        const std::vector<worker_handle>& reserved);
     /// Number of workers that gangs have reserved.
     [[nodiscard]] std::size_t count_reserved() const;
     void
