--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -14,7 +14,8 @@
 struct expired_registration
 {
     log_offset dropped_at = 0; ///< Offset of the removal.
-    /// Of the worker's latest incarnation, if the history still tells it.
+    /// The largest of the worker's latest incarnation, if the history still
+    /// tells it.
     std::optional<resources> capacity;
 };
 
@@ -30,7 +31,8 @@
     /// deleted older records, or if a read has failed.
     log_offset from = 0;
     expired_registrations expired;
-    /// Of each worker, its latest incarnation.
+    /// Of each worker, its latest incarnation, with the most that it has had of
+    /// each resource.
     std::map<worker_id, worker_registration> latest;
 };
 
@@ -47,9 +49,17 @@
         {
             to.expired.erase(id);
             const auto known = to.latest.try_emplace(id, *registration).first;
-            if (known->second.incarnation <= registration->incarnation)
+            worker_registration& latest = known->second;
+            if (latest.incarnation == registration->incarnation)
             {
-                known->second = *registration;
+                const resources capacity =
+                    max(latest.capacity, registration->capacity);
+                latest = *registration;
+                latest.capacity = capacity;
+            }
+            else if (latest.incarnation < registration->incarnation)
+            {
+                latest = *registration;
             }
         }
         else if (record.value.empty())
@@ -305,6 +315,16 @@
     {
         apply_registration(record);
     }
+    for (const auto& [id, registration] : read->history->latest)
+    {
+        worker_entry* worker = workers_.find(id);
+        if (worker != nullptr &&
+            worker->described_incarnation == registration.incarnation)
+        {
+            worker->largest_capacity =
+                max(worker->largest_capacity, registration.capacity);
+        }
+    }
     restore_absent_workers();
     for (const worker_entry* worker : workers_.all())
     {
@@ -777,7 +797,7 @@
         {
             return std::nullopt; // It may have another capacity.
         }
-        sum += worker->registration.capacity;
+        sum += worker->largest_capacity;
     }
     return sum;
 }
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -180,6 +180,7 @@
         entry->described_incarnation = registration.incarnation;
         entry->described_at = offset;
         entry->announced_drain = registration.draining;
+        entry->largest_capacity = registration.capacity;
         index(*entry);
         note_address(*entry);
         return true;
@@ -199,6 +200,10 @@
     const std::uint64_t incarnation = entry->registration.incarnation;
     const bool restarted = registration.incarnation != incarnation;
     unindex(*entry);
+    entry->largest_capacity =
+        registration.incarnation == entry->described_incarnation
+            ? max(entry->largest_capacity, registration.capacity)
+            : registration.capacity;
     entry->registration = registration;
     entry->registration.incarnation = incarnation;
     entry->described_incarnation = registration.incarnation;
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -76,6 +76,9 @@
     bool has_absence_record = false;
     /// Offset in the registry of the latest entry of the worker.
     log_offset described_at = 0;
+    /// The most that its described incarnation has had of each resource, as far
+    /// as is known. Its capacity may have shrunk under its runs.
+    resources largest_capacity;
     /// Its known incarnation has announced that it drains.
     bool announced_drain = false;
     /// Earlier workers at its address.
