--- a/tests/fleet/fleet_soak_test.cpp
+++ b/tests/fleet/fleet_soak_test.cpp
@@ -21,9 +21,30 @@
 class fleet_soak
 {
 public:
-    fleet_soak(std::uint64_t seed, bool keep_ids)
-        : random_(seed), keep_ids_(keep_ids), world_(3, worker_count)
+    /// What goes wrong.
+    enum class kind
     {
+        any,    ///< All faults of workers, VMs and the store.
+        crashes ///< Workers crash, under tasks too, and change their capacity.
+    };
+
+    fleet_soak(std::uint64_t seed, bool keep_ids, kind what = kind::any)
+        : random_(seed),
+          keep_ids_(keep_ids),
+          what_(what),
+          world_(3, worker_count)
+    {
+        world_.workers.on_crash = [this](const worker_id& id) {
+            later(
+                milliseconds(between(1'500, 5'000)),
+                [this, id] { bring_back(id); });
+        };
+        world_.workers.crashes_after = [this](const fleet::task_ref& task)
+        {
+            return task.index == 0 && deadly_.contains(task.step.job)
+                       ? std::optional<milliseconds>(between(5, 200))
+                       : std::nullopt;
+        };
         world_.store.page_records = chance(30) ? 20 : 10'000;
         for (std::size_t n = 0; n < worker_count; ++n)
         {
@@ -118,9 +139,18 @@
     void disrupt_worker();
     void disrupt_vm();
     void restart(const worker_id& id);
+    void resize(const worker_id& id);
+    void crash_or_kill();
+    /// Starts a crashed worker again, under its id or another one.
+    void bring_back(const worker_id& id);
+    /// Adds starts that came too late after crashes under their task.
+    void check_crashes(std::vector<std::string>& found) const;
 
     std::mt19937_64 random_;
     bool keep_ids_;
+    kind what_;
+    std::set<job_id> deadly_; ///< Jobs whose tasks 0 crash their workers.
+    std::map<worker_id, instant> resized_;
     std::map<worker_id, std::vector<life>> lives_;
     std::set<worker_id> names_;
     int jobs_ = 0;
@@ -139,6 +169,10 @@
         steps.push_back(tasks(static_cast<std::uint32_t>(between(1, 3)), 2));
         steps.back().after = {0};
     }
+    if (what_ == kind::crashes && chance(6))
+    {
+        deadly_.insert(job_id(id));
+    }
     world_.submit(id, std::move(steps));
     if (chance(20))
     {
@@ -318,8 +352,78 @@
     }
 }
 
+void fleet_soak::bring_back(const worker_id& id)
+{
+    if (keep_ids_)
+    {
+        restart(id);
+        return;
+    }
+    const std::string address = id.str().substr(0, id.str().find('~'));
+    const std::string name = address + "~" + std::to_string(replacements_++);
+    world_.store.put("registry", id.str(), "");
+    names_.erase(id);
+    world_.add_worker(name);
+    note_life(worker_id(name), 16);
+}
+
+void fleet_soak::resize(const worker_id& id)
+{
+    // A capacity that has shrunk counts once owners may know of it.
+    constexpr milliseconds shrinks_after{4'500};
+    // By then a worker that has restarted is registered again.
+    constexpr milliseconds registered_after{2'000};
+    const instant now = world_.clock.now();
+    const auto last = resized_.find(id);
+    if (!is_registered(id) ||
+        now - lives_.at(id).back().born < registered_after ||
+        (last != resized_.end() && now - last->second < 2 * shrinks_after))
+    {
+        return;
+    }
+    resized_[id] = now;
+    const std::int64_t cores = between(2, 16);
+    const life& known = lives_.at(id).back();
+    const resources capacity{
+        cores * 1'000, known.capacity.memory_mib, known.capacity.accelerators};
+    const bool shrinks =
+        capacity.milli_processors < known.capacity.milli_processors;
+    world_.resize_worker(id.str(), cores);
+    lives_[id].push_back({shrinks ? now + shrinks_after : now, capacity});
+}
+
+void fleet_soak::crash_or_kill()
+{
+    const worker_id id = any_worker();
+    switch (between(0, 9))
+    {
+    case 0:
+    {
+        fleet_world::vm& vm = any_vm();
+        vm.kill();
+        later(milliseconds(between(100, 2'000)), [&vm] { vm.start(); });
+        break;
+    }
+    case 1:
+        any_vm().pause(span());
+        break;
+    case 2:
+    case 3:
+        world_.workers.crash(id);
+        break;
+    default:
+        resize(id);
+        break;
+    }
+}
+
 void fleet_soak::disrupt()
 {
+    if (what_ == kind::crashes)
+    {
+        crash_or_kill();
+        return;
+    }
     if (chance(75))
     {
         disrupt_worker();
@@ -369,9 +473,37 @@
             found.push_back("over capacity: " + text);
         }
     }
+    check_crashes(found);
     return found;
 }
 
+void fleet_soak::check_crashes(std::vector<std::string>& found) const
+{
+    constexpr std::size_t most_crashes = 3;
+    constexpr std::size_t most_starts_after = 2;
+    std::map<fleet::task_ref, std::size_t> crashes;
+    std::map<fleet::task_ref, std::size_t> starts_after;
+    for (const standin::worker_event& each : world_.workers.events())
+    {
+        if (each.task.index != 0 || !deadly_.contains(each.task.step.job))
+        {
+            continue;
+        }
+        if (each.what == standin::worker_event::kind::ended)
+        {
+            crashes[each.task] += each.how == fleet::run_end::lapsed ? 1 : 0;
+        }
+        else if (
+            crashes[each.task] >= most_crashes &&
+            ++starts_after[each.task] > most_starts_after)
+        {
+            found.push_back(
+                "started after " + std::to_string(crashes[each.task]) +
+                " crashes: " + each.task.step.job.str());
+        }
+    }
+}
+
 /// A number from the environment, for long runs by hand.
 int setting(const char* name, int otherwise)
 {
@@ -400,3 +532,28 @@
     }
     CHECK(starts > 100 * static_cast<std::size_t>(seeds));
 }
+
+// Guards against tasks that crash worker after worker, also around changes of
+// the owner, and against workers over a capacity that changes.
+TEST_CASE(
+    "a soak of crashes starts no task after its third crash more than twice",
+    "[fleet][soak]")
+{
+    const bool keep_ids = GENERATE(false, true);
+    const int first = setting("ACACIASTILE_SOAK_FIRST", 1);
+    const int seeds = setting("ACACIASTILE_SOAK_SEEDS", 8);
+    std::size_t starts = 0;
+    for (int seed = first; seed < first + seeds; ++seed)
+    {
+        fleet_soak soak(
+            static_cast<std::uint64_t>(seed),
+            keep_ids,
+            fleet_soak::kind::crashes);
+        soak.run(60s);
+        const std::vector<std::string> broken = soak.broken();
+        CAPTURE(keep_ids, seed, broken);
+        CHECK(broken.empty());
+        starts += soak.starts();
+    }
+    CHECK(starts > 100 * static_cast<std::size_t>(seeds));
+}
