--- a/tests/edge/policy_questions_test.cpp
+++ b/tests/edge/policy_questions_test.cpp
@@ -59,7 +59,7 @@
 TEST_CASE("a repeated work request settles one question", "[peers]")
 {
     fixture at;
-    peer_api api(*at.owner, *at.config, {});
+    peer_api api(*at.owner, *at.config, at.world.clock, {});
     const auto reply_to = [&](const std::string& body)
     {
         net::http_request request{
