--- a/tests/fleet/heavy_load_test.cpp
+++ b/tests/fleet/heavy_load_test.cpp
@@ -215,3 +215,49 @@
     CHECK(senders[0].result.in_time >= 70);
     CHECK(world.broken_promises().empty());
 }
+
+// Load pattern: a burst of short jobs, every tenth of which crashes each worker
+// that starts it, on a fleet whose workers are away for 3 s after a crash.
+TEST_CASE(
+    "a burst of jobs that crash their workers is given up, the others are done",
+    "[fleet][load]")
+{
+    const bool change_ids = GENERATE(false, true);
+    constexpr int jobs = 200;
+    constexpr int one_deadly_in = 10;
+    fleet_world world(2, 24);
+    world.crashes_change_ids = change_ids;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{800ms, false};
+    };
+    const auto is_deadly = [](int job) { return job % one_deadly_in == 0; };
+    world.workers.crashes_after =
+        [&is_deadly](const fleet::task_ref& task) -> std::optional<milliseconds>
+    {
+        const int job = std::stoi(task.step.job.str().substr(1));
+        return is_deadly(job) ? std::optional<milliseconds>(10ms)
+                              : std::nullopt;
+    };
+    for (int n = 0; n < jobs; ++n)
+    {
+        world.submit("j" + std::to_string(n), {tasks(2, 3)});
+        world.run(50ms);
+    }
+    world.run(30s);
+    std::size_t deadly = 0;
+    for (int n = 0; n < jobs; ++n)
+    {
+        const std::string id = "j" + std::to_string(n);
+        CAPTURE(change_ids, id);
+        CHECK(
+            world.view(id).state ==
+            (is_deadly(n) ? job_state::failed : job_state::completed));
+        for (std::uint32_t index = 0; index < 2; ++index)
+        {
+            CHECK((!is_deadly(n) || world.starts_of(id, index).size() <= 5));
+        }
+        deadly += is_deadly(n) ? 1 : 0;
+    }
+    // Both tasks of such a job may crash two workers before it is given up.
+    CHECK(world.crashes() <= 4 * deadly);
+}
