--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -268,8 +268,16 @@
 bool worker_table::is_settled(
     const worker_entry& worker, const run_entry& run) const
 {
-    return run.trial != run_entry::trial_length::until_end && run.alive_at &&
-           worker.clock - *run.alive_at >= settings_.crash_after_start;
+    if (run.trial == run_entry::trial_length::until_end)
+    {
+        return false;
+    }
+    // An order without an answer may be carried out much later. The worker has
+    // outlived one that was carried out at once.
+    return run.alive_at
+               ? worker.clock - *run.alive_at >= settings_.crash_after_start
+               : worker.clock_received_at - run.started >=
+                     settings_.crash_after_start;
 }
 
 bool worker_table::is_quiet(const worker_entry& worker) const
@@ -299,6 +307,10 @@
     }
     for (const auto& [id, run] : worker.runs)
     {
+        if (!run.recorded_blame && !run.alive_at && is_settled(worker, run))
+        {
+            continue; // It is not known to have been there.
+        }
         const crash_blame each =
             run.recorded_blame ? *run.recorded_blame
             : !is_settled(worker, run)
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -165,7 +165,7 @@
     milliseconds quarantine{4'000};
     /// A task that crashes its worker does so within this time of its start, on
     /// the worker's clock.
-    milliseconds crash_after_start{300};
+    milliseconds crash_after_start{100};
 
     /// Longest time on this VM's clock in which a worker's clock advances by
     /// `span`.
@@ -256,7 +256,8 @@
     is_settled(const worker_entry& worker, const run_entry& run) const;
     /// True if all runs of the worker are settled.
     [[nodiscard]] bool is_quiet(const worker_entry& worker) const;
-    /// What a crash of the worker since its last answer says of its runs.
+    /// What a crash of the worker since its last answer says of its runs; leaves
+    /// out those that are not known to have been there.
     [[nodiscard]] std::vector<blamed_run>
     blame(const worker_entry& worker) const;
     /// Ends the brief trial of a run that is settled.
--- a/tests/fleet/crashing_tasks_test.cpp
+++ b/tests/fleet/crashing_tasks_test.cpp
@@ -257,3 +257,27 @@
     CHECK(world.starts_of("a").size() == 2);
     CHECK(world.broken_promises().empty());
 }
+
+// Guards against a task that is given up because workers crashed that had its
+// order, had not carried it out and had gone on answering.
+TEST_CASE(
+    "a crash long after an order without an answer is not held against its run",
+    "[fleet]")
+{
+    fleet::worker_table workers;
+    fleet::worker_registration registration;
+    registration.id = worker_id("w0");
+    workers.upsert(registration);
+    fleet::worker_entry& worker = *workers.find(worker_id("w0"));
+    const instant sent{100s};
+    workers.note_clock(worker, worker_instant(20s), sent - 5ms, sent - 1ms);
+    fleet::run_entry run;
+    run.task = {{job_id("a"), 0, 0}, 0};
+    run.run = 1;
+    run.started = sent;
+    workers.add_run(worker, run);
+    REQUIRE(workers.blame(worker).size() == 1);
+    CHECK(workers.blame(worker).front().blame == fleet::crash_blame::sole);
+    workers.note_clock(worker, worker_instant(21s), sent + 1s, sent + 1s);
+    CHECK(workers.blame(worker).empty());
+}
