--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -138,6 +138,7 @@
             if (!answer->refusal && !run.alive_at)
             {
                 run.alive_at = *answer->clock;
+                run.alive_noted = now;
             }
         }
         if (answer->refusal)
@@ -188,7 +189,7 @@
     if (answer.error().effect == verdict::not_run &&
         run.state == run_entry::phase::starting && !is_retry)
     {
-        workers_.set_unreachable(*worker);
+        workers_.set_unreachable(*worker, ports_.clock.now());
         worker->next_hold = now;
         schedule_poll(*worker);
         undo_start(
@@ -202,7 +203,7 @@
         send_start(decision, true);
         return;
     }
-    workers_.set_unreachable(*worker);
+    workers_.set_unreachable(*worker, ports_.clock.now());
     mark_uncertain(*worker, run, now);
 }
 
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -200,7 +200,7 @@
     }
     if (worker->reachable)
     {
-        workers_.set_unreachable(*worker);
+        workers_.set_unreachable(*worker, ports_.clock.now());
         schedule_round(); // Stores which runs a crash is to be blamed on.
         ports_.events.emit(
             {event_number::worker_silent,
@@ -467,7 +467,11 @@
         run.listed_in = worker.status_count;
         run.percent = running.percent;
         run.recorded_blame.reset();
-        run.alive_at = run.alive_at.value_or(worker.clock);
+        if (!run.alive_at)
+        {
+            run.alive_at = worker.clock;
+            run.alive_noted = ports_.clock.now();
+        }
         workers_.end_trial(worker, run);
         if (!running.checkpoint.empty())
         {
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -105,8 +105,12 @@
         });
 }
 
-void worker_table::set_unreachable(worker_entry& worker)
+void worker_table::set_unreachable(worker_entry& worker, instant now)
 {
+    if (worker.reachable)
+    {
+        worker.silent_since = now;
+    }
     worker.reachable = false;
     add_out_of_sight(worker);
 }
@@ -280,6 +284,19 @@
                      settings_.crash_after_start;
 }
 
+bool worker_table::has_just_started(
+    const worker_entry& worker, const run_entry& run) const
+{
+    if (run.trial == run_entry::trial_length::until_end && run.alive_at)
+    {
+        return true; // Nothing else has started there since.
+    }
+    const instant base = run.alive_at ? run.alive_noted : run.started;
+    return !is_settled(worker, run) &&
+           (worker.reachable ||
+            worker.silent_since - base < settings_.crash_noticed);
+}
+
 bool worker_table::is_quiet(const worker_entry& worker) const
 {
     return std::all_of(
@@ -296,7 +313,7 @@
     bool one_unit = true;
     for (const auto& [id, run] : worker.runs)
     {
-        if (run.recorded_blame || is_settled(worker, run))
+        if (run.recorded_blame || !has_just_started(worker, run))
         {
             continue;
         }
@@ -307,7 +324,8 @@
     }
     for (const auto& [id, run] : worker.runs)
     {
-        if (!run.recorded_blame && !run.alive_at && is_settled(worker, run))
+        const bool just_started = has_just_started(worker, run);
+        if (!run.recorded_blame && !run.alive_at && !just_started)
         {
             continue; // It is not known to have been there.
         }
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -55,6 +55,7 @@
     trial_length trial = trial_length::none;
     /// The worker's clock when the run was first known to be there.
     std::optional<worker_instant> alive_at;
+    instant alive_noted{}; ///< When that was known, on this VM's clock.
     /// What an earlier owner has recorded for the case of a crash.
     std::optional<crash_blame> recorded_blame;
 };
@@ -85,8 +86,9 @@
     std::vector<worker_id> predecessors;
     /// Runs that were lost when its lease expired, in case that it crashed.
     std::vector<blamed_run> lapsed_runs;
-    bool sealed = false;   ///< The worker knows this owner's token.
-    bool reachable = true; ///< It answered the last call.
+    bool sealed = false;    ///< The worker knows this owner's token.
+    bool reachable = true;  ///< It answered the last call.
+    instant silent_since{}; ///< If not reachable: since then.
     /// Another incarnation than the known one has refused a call and has not
     /// reported yet. Until then it gets neither lease nor acknowledgements.
     bool restart_suspected = false;
@@ -166,6 +168,9 @@
     /// A task that crashes its worker does so within this time of its start, on
     /// the worker's clock.
     milliseconds crash_after_start{100};
+    /// By then a call to that worker has failed, on this VM's clock. If none
+    /// has until later, something else may have crashed it.
+    milliseconds crash_noticed{150};
 
     /// Longest time on this VM's clock in which a worker's clock advances by
     /// `span`.
@@ -223,7 +228,7 @@
     /// `is_settled` returns true.
     void prune_out_of_sight(
         const std::function<bool(const worker_entry&)>& is_settled);
-    void set_unreachable(worker_entry& worker);
+    void set_unreachable(worker_entry& worker, instant now);
     void unseal(worker_entry& worker);
     /// Marks the worker for another look by whoever handles `out_of_sight`.
     void add_out_of_sight(worker_entry& worker);
@@ -256,8 +261,8 @@
     is_settled(const worker_entry& worker, const run_entry& run) const;
     /// True if all runs of the worker are settled.
     [[nodiscard]] bool is_quiet(const worker_entry& worker) const;
-    /// What a crash of the worker since its last answer says of its runs; leaves
-    /// out those that are not known to have been there.
+    /// What a crash of the worker since its last answer says of its runs;
+    /// leaves out those that are not known to have been there.
     [[nodiscard]] std::vector<blamed_run>
     blame(const worker_entry& worker) const;
     /// Ends the brief trial of a run that is settled.
@@ -316,6 +321,9 @@
     /// Adds the worker to the indexes by service and rack.
     void index(worker_entry& worker);
     void update_free(const worker_entry& worker);
+    /// True if a crash of the worker may have followed the run's start at once.
+    [[nodiscard]] bool
+    has_just_started(const worker_entry& worker, const run_entry& run) const;
     /// Finds earlier workers at the worker's address, or the later one of which
     /// it is a predecessor.
     void note_address(worker_entry& worker);
--- a/tests/fleet/crashing_tasks_test.cpp
+++ b/tests/fleet/crashing_tasks_test.cpp
@@ -280,4 +280,11 @@
     CHECK(workers.blame(worker).front().blame == fleet::crash_blame::sole);
     workers.note_clock(worker, worker_instant(21s), sent + 1s, sent + 1s);
     CHECK(workers.blame(worker).empty());
+    // Nor if the worker fell silent only some time after it.
+    run.run = 2;
+    run.started = sent + 2s;
+    workers.add_run(worker, run);
+    CHECK(workers.blame(worker).size() == 1);
+    workers.set_unreachable(worker, sent + 2'400ms);
+    CHECK(workers.blame(worker).empty());
 }
