--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -48,7 +48,7 @@
             worker = &workers_.add_unlisted(
                 {id, absence.address, absence.incarnation}, registry_next_);
         }
-        workers_.set_unreachable(*worker, ports_.clock.now());
+        workers_.set_unreachable(*worker, false, ports_.clock.now());
         worker->lease_expired_at = inherited_leases_end_;
         worker->lapsed_runs = absence.blamed;
         run_list_text restored;
--- a/src/fleet/owner_crashes.cpp
+++ b/src/fleet/owner_crashes.cpp
@@ -111,7 +111,7 @@
               {"by", worker.registration.id.str()},
               {"address", worker.registration.address},
               {"runs", std::to_string(replaced->runs.size())}}});
-        workers_.set_unreachable(*replaced, ports_.clock.now());
+        workers_.set_unreachable(*replaced, true, ports_.clock.now());
         count_crash(*replaced, {}, presumed_end::worker_replaced);
         replaced->lapsed_runs.clear();
         end_lost_runs(*replaced, {}, presumed_end::worker_replaced);
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -179,6 +179,7 @@
         poll_if_due(*worker);
         return;
     }
+    const bool broke = answer.error().code == refusal_code::unreachable;
     ports_.events.emit(
         {event_number::start_unanswered,
          {{"task", text_of(decision.task)},
@@ -189,7 +190,7 @@
     if (answer.error().effect == verdict::not_run &&
         run.state == run_entry::phase::starting && !is_retry)
     {
-        workers_.set_unreachable(*worker, ports_.clock.now());
+        workers_.set_unreachable(*worker, broke, now);
         worker->next_hold = now;
         schedule_poll(*worker);
         undo_start(
@@ -203,7 +204,7 @@
         send_start(decision, true);
         return;
     }
-    workers_.set_unreachable(*worker, ports_.clock.now());
+    workers_.set_unreachable(*worker, broke, now);
     mark_uncertain(*worker, run, now);
 }
 
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -200,7 +200,8 @@
     }
     if (worker->reachable)
     {
-        workers_.set_unreachable(*worker, ports_.clock.now());
+        const bool broke = status.error().code == refusal_code::unreachable;
+        workers_.set_unreachable(*worker, broke, now);
         schedule_round(); // Stores which runs a crash is to be blamed on.
         ports_.events.emit(
             {event_number::worker_silent,
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -178,8 +178,9 @@
 
 /// Orders of the fleet's owner to the workers. All calls carry the owner's
 /// token, by which workers reject orders of earlier owners. Errors of all
-/// calls: `unreachable`, with `not_run` if nothing was sent, else
-/// `may_have_run`.
+/// calls: `unreachable` if there is no connection or it broke, and
+/// `deadline_exceeded` if no response came in time; with `not_run` if nothing
+/// was sent, else `may_have_run`.
 ///
 /// What only holds for one incarnation of a worker (a start, a lease, a number
 /// of acknowledged ends) reaches no other one, unless the network carries a
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -105,11 +105,13 @@
         });
 }
 
-void worker_table::set_unreachable(worker_entry& worker, instant now)
+void worker_table::set_unreachable(
+    worker_entry& worker, bool broke, instant now)
 {
     if (worker.reachable)
     {
         worker.silent_since = now;
+        worker.connection_broke = broke;
     }
     worker.reachable = false;
     add_out_of_sight(worker);
@@ -294,7 +296,8 @@
     const instant base = run.alive_at ? run.alive_noted : run.started;
     return !is_settled(worker, run) &&
            (worker.reachable ||
-            worker.silent_since - base < settings_.crash_noticed);
+            (worker.connection_broke &&
+             worker.silent_since - base < settings_.crash_noticed));
 }
 
 bool worker_table::is_quiet(const worker_entry& worker) const
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -89,6 +89,8 @@
     bool sealed = false;    ///< The worker knows this owner's token.
     bool reachable = true;  ///< It answered the last call.
     instant silent_since{}; ///< If not reachable: since then.
+    /// If not reachable: a connection broke first. Else it was silent before.
+    bool connection_broke = false;
     /// Another incarnation than the known one has refused a call and has not
     /// reported yet. Until then it gets neither lease nor acknowledgements.
     bool restart_suspected = false;
@@ -168,8 +170,8 @@
     /// A task that crashes its worker does so within this time of its start, on
     /// the worker's clock.
     milliseconds crash_after_start{100};
-    /// By then a call to that worker has failed, on this VM's clock. If none
-    /// has until later, something else may have crashed it.
+    /// By then the connections to that worker have broken, on this VM's clock.
+    /// If they break later, something else may have crashed it.
     milliseconds crash_noticed{150};
 
     /// Longest time on this VM's clock in which a worker's clock advances by
@@ -228,7 +230,9 @@
     /// `is_settled` returns true.
     void prune_out_of_sight(
         const std::function<bool(const worker_entry&)>& is_settled);
-    void set_unreachable(worker_entry& worker, instant now);
+    /// `broke`: a connection to it broke, or none could be made. Otherwise a
+    /// call got no response in time.
+    void set_unreachable(worker_entry& worker, bool broke, instant now);
     void unseal(worker_entry& worker);
     /// Marks the worker for another look by whoever handles `out_of_sight`.
     void add_out_of_sight(worker_entry& worker);
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -166,8 +166,10 @@
     {
         clock_.after(
             options_.answer_timeout,
-            [done, effect]
-            { done(refuse(refusal_code::unreachable, effect, "timeout")); });
+            [done, effect] {
+                done(
+                    refuse(refusal_code::deadline_exceeded, effect, "timeout"));
+            });
     };
     if (at == workers_.end() || at->second->active_faults.silent)
     {
@@ -526,9 +528,10 @@
     {
         clock_.after(
             options_.answer_timeout,
-            [done = std::move(done)] {
+            [done = std::move(done)]
+            {
                 done(refuse(
-                    refusal_code::unreachable,
+                    refusal_code::deadline_exceeded,
                     verdict::may_have_run,
                     "timeout"));
             });
@@ -609,9 +612,10 @@
             clock_.after(
                 std::max(milliseconds::zero(), until - clock_.now()) +
                     options_.answer_timeout,
-                [done] {
+                [done]
+                {
                     done(refuse(
-                        refusal_code::unreachable,
+                        refusal_code::deadline_exceeded,
                         verdict::may_have_run,
                         "timeout"));
                 });
@@ -685,9 +689,10 @@
     {
         clock_.after(
             timeout,
-            [done] {
+            [done]
+            {
                 done(refuse(
-                    refusal_code::unreachable,
+                    refusal_code::deadline_exceeded,
                     verdict::may_have_run,
                     "timeout"));
             });
