--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -334,7 +334,7 @@
         }
         const crash_blame each =
             run.recorded_blame ? *run.recorded_blame
-            : !is_settled(worker, run)
+            : just_started
                 ? (one_unit ? crash_blame::sole : crash_blame::shared)
             : first != nullptr ? crash_blame::beside
                                : crash_blame::late;
--- a/tests/fleet/crashing_tasks_test.cpp
+++ b/tests/fleet/crashing_tasks_test.cpp
@@ -294,4 +294,12 @@
     worker.reachable = true;
     workers.set_unreachable(worker, true, sent + 2'010ms);
     CHECK(workers.blame(worker).size() == 1);
+    CHECK(workers.blame(worker).front().blame == fleet::crash_blame::sole);
+    // A run that was there then is not blamed for a silence that began before.
+    worker.runs.at({run.task, 2}).alive_at = worker.clock;
+    worker.runs.at({run.task, 2}).alive_noted = sent + 2'005ms;
+    worker.reachable = true;
+    workers.set_unreachable(worker, false, sent + 2'010ms);
+    REQUIRE(workers.blame(worker).size() == 1);
+    CHECK(workers.blame(worker).front().blame == fleet::crash_blame::late);
 }
