--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -143,7 +143,7 @@
 {
     constexpr milliseconds registration_kept{4'500};
     ++crashes_;
-    const std::string id = crashed.str();
+    const std::string& id = crashed.str();
     const auto before =
         plain_records().read_registration(id, store.newest("registry", id));
     if (!before)
