--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -166,12 +166,19 @@
         worker.registration.incarnation > other->registration.incarnation;
     worker_entry& later = is_later ? worker : *other;
     const worker_entry& earlier = is_later ? *other : worker;
-    const worker_id& id = earlier.registration.id;
-    if (std::find(later.predecessors.begin(), later.predecessors.end(), id) ==
-        later.predecessors.end())
+    const auto add = [&](const worker_id& id)
     {
-        later.predecessors.push_back(id);
-    }
+        if (std::find(
+                later.predecessors.begin(), later.predecessors.end(), id) ==
+            later.predecessors.end())
+        {
+            later.predecessors.push_back(id);
+        }
+    };
+    add(earlier.registration.id);
+    // The earlier one may never answer again.
+    std::for_each(
+        earlier.predecessors.begin(), earlier.predecessors.end(), add);
     at->second = later.handle;
 }
 
@@ -289,7 +296,8 @@
 bool worker_table::has_just_started(
     const worker_entry& worker, const run_entry& run) const
 {
-    if (run.trial == run_entry::trial_length::until_end && run.alive_at)
+    if (run.trial == run_entry::trial_length::until_end &&
+        (run.alive_at || worker.connection_broke))
     {
         return true; // Nothing else has started there since.
     }
--- a/tests/fleet/worker_table_test.cpp
+++ b/tests/fleet/worker_table_test.cpp
@@ -153,3 +153,23 @@
     CHECK(workers.is_clock_reset(worker, worker_instant(59'700ms), asked));
     CHECK(workers.is_clock_reset(worker, worker_instant(1s), asked));
 }
+
+// Guards against runs that outlast their worker in the records: an owner that
+// had not seen the process between two others at an address took the runs of
+// the first one to be active until their lease ended, and counted no crash.
+TEST_CASE("a worker replaces all earlier workers at its address")
+{
+    worker_table table;
+    for (std::uint64_t life = 1; life <= 3; ++life)
+    {
+        worker_registration registration;
+        registration.id = worker_id("w~" + std::to_string(life));
+        registration.incarnation = life;
+        registration.address = "w:1";
+        registration.service = service_name("svc");
+        table.upsert(registration);
+    }
+    CHECK(
+        table.find(worker_id("w~3"))->predecessors ==
+        std::vector<worker_id>{worker_id("w~2"), worker_id("w~1")});
+}
