--- a/src/edge/config_watch.cpp
+++ b/src/edge/config_watch.cpp
@@ -1,5 +1,7 @@
 #include "edge/config_watch.hpp"
 
+#include <algorithm>
+
 namespace acaciastile::edge
 {
 
@@ -84,13 +86,12 @@
                 self->retry_later(&config_watch::load);
                 return;
             }
-            for (const fleet::store_record& record : page->records)
-            {
-                self->apply_record(record);
-            }
+            self->apply_newest(*page);
             self->next_offset_ = page->end;
             self->confirmed_at_ = requested_at;
             self->report_success();
+            self->first_read_done_ = true;
+            self->read_now();
             self->follow();
         });
 }
@@ -122,11 +123,7 @@
                     expired ? &config_watch::load : &config_watch::follow);
                 return;
             }
-            for (const fleet::store_record& record : page->records)
-            {
-                self->apply_record(record);
-            }
-            self->next_offset_ = page->end;
+            self->apply_tail(*page);
             if (page->is_last())
             {
                 self->confirmed_at_ = requested_at;
@@ -136,6 +133,95 @@
         });
 }
 
+void config_watch::refresh(std::function<void()> done)
+{
+    refreshing_.push_back(std::move(done));
+    read_now();
+}
+
+void config_watch::read_now()
+{
+    // The first read is in flight until then, and serves as well.
+    if (!first_read_done_ || read_now_in_flight_ || refreshing_.empty())
+    {
+        return;
+    }
+    read_now_in_flight_ = true;
+    store_.read(
+        foreign_.configuration_topic(),
+        next_offset_,
+        milliseconds::zero(),
+        [weak = weak_from_this(),
+         served = refreshing_.size()](const result<fleet::store_page>& page)
+        {
+            const auto self = weak.lock();
+            if (!self)
+            {
+                return;
+            }
+            self->read_now_in_flight_ = false;
+            if (!page)
+            {
+                // After expired records `follow` reloads, and calls this again.
+                self->retry_later(&config_watch::read_now);
+                return;
+            }
+            self->apply_tail(*page);
+            if (page->is_last())
+            {
+                self->finish_refresh(served);
+            }
+            self->read_now();
+        });
+}
+
+void config_watch::finish_refresh(std::size_t served)
+{
+    const auto end = refreshing_.begin() + static_cast<std::ptrdiff_t>(served);
+    const std::vector<std::function<void()>> done(refreshing_.begin(), end);
+    refreshing_.erase(refreshing_.begin(), end);
+    for (const std::function<void()>& each : done)
+    {
+        each();
+    }
+}
+
+void config_watch::apply_newest(const fleet::store_page& page)
+{
+    std::vector<fleet::evacuation_table::entry> evacuated;
+    for (const fleet::store_record& record : page.records)
+    {
+        if (const auto name = foreign_.evacuated_data_centre(record.key))
+        {
+            evacuated.push_back({*name, record.offset, !record.value.empty()});
+        }
+        apply_record(record);
+    }
+    if (evacuations_.load(evacuated, page.end) && evacuations_changed_)
+    {
+        evacuations_changed_();
+    }
+}
+
+void config_watch::apply_tail(const fleet::store_page& page)
+{
+    bool changed = false;
+    for (const fleet::store_record& record : page.records)
+    {
+        if (const auto name = foreign_.evacuated_data_centre(record.key))
+        {
+            changed |= evacuations_.apply(
+                {*name, record.offset, !record.value.empty()});
+        }
+        apply_record(record);
+    }
+    next_offset_ = std::max(next_offset_, page.end);
+    if (changed && evacuations_changed_)
+    {
+        evacuations_changed_();
+    }
+}
+
 void config_watch::apply_record(const fleet::store_record& record)
 {
     if (record.key != foreign_.configuration_key() || record.value.empty())
--- a/src/edge/config_watch.hpp
+++ b/src/edge/config_watch.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "domain/event_sink.hpp"
+#include "fleet/evacuations.hpp"
 #include "fleet/ports.hpp"
 
+#include <functional>
 #include <memory>
+#include <vector>
 
 namespace acaciastile::edge
 {
@@ -18,9 +21,11 @@
     milliseconds max_age{1'700};
 };
 
-/// Follows the operators' configuration in the metadata store. The current
-/// version is never replaced by a lower one.
-class config_watch : public std::enable_shared_from_this<config_watch>
+/// Follows the operators' records in the metadata store: their configuration,
+/// whose current version is never replaced by a lower one, and the evacuations
+/// of data centres.
+class config_watch final : public fleet::operator_requests,
+                           public std::enable_shared_from_this<config_watch>
 {
 public:
     [[nodiscard]] static std::shared_ptr<config_watch> create(
@@ -47,6 +52,17 @@
     {
         return text_;
     }
+    [[nodiscard]] const fleet::evacuation_table& evacuations() const override
+    {
+        return evacuations_;
+    }
+    void refresh(std::function<void()> done) override;
+    /// Called after each change of `evacuations`.
+    void on_evacuations_changed(std::function<void()> listener)
+    {
+        evacuations_changed_ = std::move(listener);
+    }
+
     /// Applies what another VM reports: the version that the store confirmed
     /// `age` ago, and its encoded form, which is empty if this VM already has
     /// that version.
@@ -63,6 +79,14 @@
 
     void load();
     void follow();
+    /// Reads once, without waiting for new records, for `refresh`.
+    void read_now();
+    /// Calls the first `served` waiting callers of `refresh`.
+    void finish_refresh(std::size_t served);
+    /// Applies the newest record of each key.
+    void apply_newest(const fleet::store_page& page);
+    /// Applies records that continue the log.
+    void apply_tail(const fleet::store_page& page);
     void apply_record(const fleet::store_record& record);
     void apply(const std::string& text, std::string_view source);
     void report_success();
@@ -79,6 +103,11 @@
     bool loaded_ = false;
     bool stale_reported_ = false;
     log_offset next_offset_ = 0;
+    fleet::evacuation_table evacuations_;
+    std::function<void()> evacuations_changed_;
+    std::vector<std::function<void()>> refreshing_;
+    bool read_now_in_flight_ = false;
+    bool first_read_done_ = false;
     instant confirmed_at_{}; ///< On the clock that includes suspends.
 };
 
--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -131,6 +131,14 @@
     watch_settings.max_age = settings_.config_bound - config_freshness_margin;
     config_ = config_watch::create(
         watch_settings, *adapter_.store, *adapter_.foreign, *clock_, *events_);
+    config_->on_evacuations_changed(
+        [this]
+        {
+            if (const auto owner = owner_->local())
+            {
+                owner->on_evacuations_changed();
+            }
+        });
     fleet::leadership_settings leader_settings;
     leader_settings.vm = settings_.vm;
     leader_settings.strength = leadership_strength(settings_);
@@ -293,6 +301,7 @@
          *clock_,
          *events_,
          *metrics_,
+         *config_,
          [this]() -> const fleet::configuration&
          {
              static const fleet::configuration none;
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -4,6 +4,7 @@
 #include "fleet/event_text.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 namespace acaciastile::fleet
 {
@@ -144,6 +145,54 @@
     }
 }
 
+void fleet_owner::on_evacuations_changed()
+{
+    if (!loaded_)
+    {
+        return;
+    }
+    const std::set<data_centre_name>& now =
+        ports_.operators.evacuations().all();
+    workers_.set_evacuated(now);
+    const auto report = [&](event_number what, const data_centre_name& name)
+    {
+        std::size_t workers = 0;
+        std::size_t runs = 0;
+        for (const worker_entry* worker : workers_.all())
+        {
+            if (worker->registration.data_centre == name)
+            {
+                workers += worker->listed ? 1 : 0;
+                runs += worker->runs.size();
+            }
+        }
+        ports_.events.emit(
+            {what,
+             {{"data_centre", name.str()},
+              {"fence", std::to_string(token_)},
+              {"workers", std::to_string(workers)},
+              {"runs", std::to_string(runs)}}});
+    };
+    for (const data_centre_name& name : now)
+    {
+        if (!evacuated_.contains(name))
+        {
+            report(event_number::evacuation_begun, name);
+        }
+    }
+    for (const data_centre_name& name : evacuated_)
+    {
+        if (!now.contains(name))
+        {
+            report(event_number::evacuation_ended, name);
+        }
+    }
+    evacuated_ = now;
+    ports_.metrics.gauge(
+        "fleet_evacuations", "", static_cast<double>(evacuated_.size()));
+    schedule_round();
+}
+
 void fleet_owner::note_token(std::uint64_t token)
 {
     latest_token_ = std::max(latest_token_, token);
@@ -429,7 +478,13 @@
         " of=",
         capacity.milli_processors / 1000,
         " questions=",
-        dispatcher_.waiting_questions());
+        dispatcher_.waiting_questions(),
+        " evacuated=",
+        absl::StrJoin(
+            evacuated_,
+            ",",
+            [](std::string* out, const data_centre_name& name)
+            { absl::StrAppend(out, name.str()); }));
 }
 
 } // namespace acaciastile::fleet
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -4,6 +4,7 @@
 #include "domain/metric_sink.hpp"
 #include "fleet/absent_worker_table.hpp"
 #include "fleet/advice_dispatcher.hpp"
+#include "fleet/evacuations.hpp"
 #include "fleet/job_tracker.hpp"
 #include "fleet/planner.hpp"
 #include "fleet/poll_schedule.hpp"
@@ -136,6 +137,7 @@
     scheduler_clock& clock;
     event_sink& events;
     metric_sink& metrics;
+    operator_requests& operators;
     std::function<const configuration&()> config;
     /// Called with a reason when a worker or the store rejects this owner's
     /// token as stale.
@@ -190,6 +192,9 @@
     /// Records the token of this owner's latest record in the ownership topic.
     void note_token(std::uint64_t token);
 
+    /// Applies a change of the evacuations that operators have requested.
+    void on_evacuations_changed();
+
     /// Time since the store last answered a read of the registry, which is
     /// read every 0.3 s. Zero until the stored state is loaded.
     [[nodiscard]] milliseconds store_silence() const;
@@ -549,6 +554,8 @@
     advice_dispatcher dispatcher_;
     account_rate_limiter rates_;
 
+    std::set<data_centre_name> evacuated_; ///< As last logged.
+
     std::shared_ptr<loading> loading_; ///< Null once loading has finished.
     bool loaded_ = false;
     bool ended_ = false;
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -141,6 +141,7 @@
     std::optional<store_page> progress;
     std::optional<store_page> registry;
     std::optional<registry_history> history;
+    bool operators_known = false;      ///< What operators request by now.
     log_offset history_asked_from = 0; ///< Of the last read of the history.
 };
 
@@ -148,6 +149,13 @@
 {
     loading_ = std::make_shared<loading>();
     fence();
+    // An evacuation that was stored before holds from the first start on.
+    ports_.operators.refresh(guarded(
+        [](fleet_owner& self)
+        {
+            self.loading_->operators_known = true;
+            self.finish_loading();
+        }));
     // These pages may be older than the fence: records appended later are
     // found by the reads that continue from the end of each page. Progress of
     // such a job is kept until the job is read.
@@ -279,7 +287,7 @@
         read->jobs.end(),
         [](const auto& page) { return page.has_value(); });
     if (!jobs_read || !read->progress || !read->registry || !read->history ||
-        !registry_history_suffices())
+        !read->operators_known || !registry_history_suffices())
     {
         return;
     }
@@ -348,6 +356,7 @@
     }
     loaded_ = true;
     last_store_answer_ = ports_.clock.now();
+    on_evacuations_changed();
     ports_.events.emit(
         {event_number::fleet_loaded,
          {{"fence", std::to_string(token_)},
@@ -675,7 +684,12 @@
             unsealed_workers_.insert(registration->id);
         }
     }
-    schedule_poll(*workers_.find(registration->id));
+    worker_entry& described = *workers_.find(registration->id);
+    if (registration->cold > milliseconds::zero())
+    {
+        described.cold_until = ports_.clock.now() + registration->cold;
+    }
+    schedule_poll(described);
     if (registration->draining && !was_draining)
     {
         ports_.events.emit(
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -198,7 +198,8 @@
         schedule_round();
         return;
     }
-    if (!is_retry && run.state == run_entry::phase::starting)
+    if (!is_retry && run.state == run_entry::phase::starting &&
+        !worker->evacuated)
     {
         // Safe to retry: a worker starts a run number only once.
         send_start(decision, true);
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -788,7 +788,7 @@
     for (const worker_handle each : reserved)
     {
         const worker_entry* worker = pass.workers.at(each);
-        if (worker != nullptr && worker->listed)
+        if (worker != nullptr && worker->listed && !worker->evacuated)
         {
             members += static_cast<std::size_t>(members_that_fit(
                 worker->registration.capacity, *step.spec, step.needs));
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -262,6 +262,7 @@
     rack_name rack;
     bool draining = false;
     milliseconds remaining{0}; ///< While draining: minimum time left.
+    milliseconds cold{0};      ///< How long it stays slow after its start.
 };
 
 /// Decodes records that other systems write to the metadata store.
@@ -272,6 +273,11 @@
     /// Topic and key of the operators' configuration.
     [[nodiscard]] virtual const std::string& configuration_topic() const = 0;
     [[nodiscard]] virtual const std::string& configuration_key() const = 0;
+    /// The data centre whose evacuation a record with this key requests; the
+    /// record is deleted when the evacuation is withdrawn. Empty for all other
+    /// records of the operators.
+    [[nodiscard]] virtual std::optional<data_centre_name>
+    evacuated_data_centre(const std::string& key) const = 0;
     /// Topic of the workers' registry, keyed by worker id.
     [[nodiscard]] virtual const std::string& registry_topic() const = 0;
 
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -39,6 +39,7 @@
     }
     free->set(worker.handle, worker.free_resources());
     racks_[worker.registration.rack].push_back(&worker);
+    worker.evacuated = evacuated_.contains(worker.registration.data_centre);
 }
 
 void worker_table::unindex(const worker_entry& worker)
@@ -227,6 +228,16 @@
     return restarted;
 }
 
+void worker_table::set_evacuated(std::set<data_centre_name> evacuated)
+{
+    evacuated_ = std::move(evacuated);
+    for (worker_entry* worker : all_)
+    {
+        worker->evacuated =
+            evacuated_.contains(worker->registration.data_centre);
+    }
+}
+
 void worker_table::unlist(const worker_id& id, log_offset dropped_at)
 {
     if (worker_entry* found = find(id);
@@ -363,6 +374,7 @@
 bool worker_table::is_usable(const worker_entry& worker, instant now) const
 {
     return worker.listed && worker.sealed && worker.reachable &&
+           !worker.evacuated &&
            worker.described_incarnation == worker.registration.incarnation &&
            worker.runs_of_unknown_needs == 0 && !worker.has_absence_record &&
            !worker.registration.draining && worker.quarantined_until <= now;
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,9 @@
     /// The most that its described incarnation has had of each resource, as far
     /// as is known. Its capacity may have shrunk under its runs.
     resources largest_capacity;
+    bool evacuated = false; ///< Its data centre is; nothing is started on it.
+    /// Until when it is slow after its start, on this VM's clock.
+    instant cold_until{};
     /// Its known incarnation has announced that it drains.
     bool announced_drain = false;
     /// Earlier workers at its address.
@@ -249,6 +253,10 @@
     /// Records that the registry removed the worker's entry at that offset.
     void unlist(const worker_id& id, log_offset dropped_at);
 
+    /// Marks the workers of data centres that are evacuated, also those that
+    /// are registered later.
+    void set_evacuated(std::set<data_centre_name> evacuated);
+
     /// Adds a worker that is known only from the absence record of a previous
     /// owner.
     worker_entry&
@@ -340,6 +348,7 @@
     std::vector<worker_entry*> pending_ends_;
     std::map<service_name, std::unique_ptr<impl::fit_index>> free_;
     absl::flat_hash_map<rack_name, std::vector<worker_entry*>> racks_;
+    std::set<data_centre_name> evacuated_;
     absl::flat_hash_map<account_name, resources> account_use_;
     /// The latest worker at each address.
     absl::flat_hash_map<std::string, worker_handle> by_address_;
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -20,6 +20,15 @@
     return name;
 }
 
+std::optional<data_centre_name>
+plain_records::evacuated_data_centre(const std::string& key) const
+{
+    constexpr std::string_view prefix = "evacuate/";
+    return key.starts_with(prefix)
+               ? std::optional(data_centre_name(key.substr(prefix.size())))
+               : std::nullopt;
+}
+
 const std::string& plain_records::registry_topic() const
 {
     static const std::string name = "registry";
@@ -51,6 +60,7 @@
     registration.address = key.substr(0, key.find('~'));
     registration.service = fleet::service_name(service);
     registration.rack = rack_name(rack);
+    registration.data_centre = data_centre_name(rack.substr(0, rack.find('-')));
     registration.labels = {rack};
     registration.capacity = {cores * 1'000, gib * 1'024, 0};
     registration.draining = state == "draining";
@@ -170,6 +180,11 @@
         });
 }
 
+void fleet_world::evacuate(const std::string& data_centre, bool evacuated)
+{
+    store.put("operators", "evacuate/" + data_centre, evacuated ? "{}" : "");
+}
+
 void fleet_world::resize_worker(const std::string& id, std::int64_t cores)
 {
     const auto before =
@@ -373,6 +388,7 @@
 {
     owner.reset();
     leadership.reset();
+    operators.reset();
 }
 
 void fleet_world::vm::start()
@@ -383,6 +399,17 @@
     leading.strength = strength;
     leadership = fleet::leadership::create(
         leading, store, clock, world_.events, *this, seed_++);
+    operators =
+        edge::config_watch::create({}, store, records_, clock, world_.events);
+    operators->on_evacuations_changed(
+        [this]
+        {
+            if (owner)
+            {
+                owner->on_evacuations_changed();
+            }
+        });
+    operators->start();
     leadership->start();
 }
 
@@ -409,6 +436,7 @@
          clock,
          world_.events,
          metrics_,
+         *operators,
          [this]() -> const fleet::configuration& { return world_.config; },
          [this](const std::string& reason) { leadership->step_down(reason); },
          [this](const std::string& reason) { leadership->yield(reason); }},
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/config_watch.hpp"
 #include "fleet/intake.hpp"
 #include "fleet/leadership.hpp"
 #include "fleet/owner.hpp"
@@ -20,12 +21,15 @@
 /// Text formats for the records of tests. The value of a registration is
 /// `INCARNATION SERVICE RACK CORES MEMORY STATE`, with the memory in GiB; that
 /// of a configuration is its revision. A worker whose id is `NAME~N` is at the
-/// address of the worker `NAME`.
+/// address of the worker `NAME`. A rack `DC-N` is in the data centre `DC`, and
+/// the key `evacuate/DC` evacuates it.
 class plain_records final : public fleet::external_records
 {
 public:
     [[nodiscard]] const std::string& configuration_topic() const override;
     [[nodiscard]] const std::string& configuration_key() const override;
+    [[nodiscard]] std::optional<data_centre_name>
+    evacuated_data_centre(const std::string& key) const override;
     [[nodiscard]] const std::string& registry_topic() const override;
     [[nodiscard]] result<fleet::configuration>
     read_configuration(const std::string& value) const override;
@@ -103,6 +107,9 @@
         std::int64_t cores = 16,
         milliseconds registers_after = milliseconds{100});
 
+    /// Stores an operator's request to evacuate a data centre, or withdraws it.
+    void evacuate(const std::string& data_centre, bool evacuated = true);
+
     /// Registers a worker with another capacity.
     void resize_worker(const std::string& id, std::int64_t cores);
 
@@ -165,6 +172,7 @@
     gated_store store;
     gated_orders orders;
     std::shared_ptr<fleet::leadership> leadership;
+    std::shared_ptr<edge::config_watch> operators;
     std::shared_ptr<fleet::fleet_owner> owner;
     std::string name;
     std::uint32_t strength = 1'000;
