--- a/src/fleet/event_text.hpp
+++ b/src/fleet/event_text.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet/job.hpp"
 
+#include <cmath>
 #include <string>
 
 namespace acaciastile::fleet
@@ -21,6 +22,13 @@
     return std::to_string(time.count());
 }
 
+/// Formats a fraction for log lines, as whole hundredths.
+[[nodiscard]] inline std::string percent_of(double fraction)
+{
+    constexpr double hundredths = 100.0;
+    return std::to_string(std::lround(fraction * hundredths));
+}
+
 /// Formats resources for log lines: thousandths of a processor core, mebibytes
 /// and accelerators, separated by slashes.
 [[nodiscard]] inline std::string text_of(const resources& amount)
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <cmath>
 
 namespace acaciastile::fleet
 {
@@ -447,6 +448,32 @@
     schedule_round();
 }
 
+std::string fleet_owner::describe_speeds() const
+{
+    const worker_speeds& speeds = planner_.speeds();
+    if (!speeds.is_uneven())
+    {
+        return "even";
+    }
+    std::string text;
+    for (const worker_entry* worker : workers_.all())
+    {
+        const auto known = speeds.evidence_of(worker->handle);
+        if (worker->listed && known.runs > 0)
+        {
+            absl::StrAppend(
+                &text,
+                text.empty() ? "" : ",",
+                worker->registration.id.str(),
+                ":",
+                percent_of(speeds.speed_of(worker->handle)),
+                "%/",
+                std::lround(known.runs));
+        }
+    }
+    return text;
+}
+
 std::string fleet_owner::describe() const
 {
     std::size_t runs = 0;
@@ -479,6 +506,8 @@
         capacity.milli_processors / 1000,
         " questions=",
         dispatcher_.waiting_questions(),
+        " speeds=",
+        describe_speeds(),
         " evacuated=",
         absl::StrJoin(
             evacuated_,
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -41,6 +41,8 @@
 /// each worker that was removed before it, every run that may be left is in a
 /// record of absence.
 inline constexpr const char* removals_noted = "removals-noted";
+/// Key of the record in `progress` with the learnt speeds of workers.
+inline constexpr const char* worker_speeds = "worker-speeds";
 /// Writer name of the owner's appends to `progress`. The writer's epoch is the
 /// owner's fencing token.
 inline constexpr const char* progress_writer = "owner";
@@ -124,6 +126,9 @@
     milliseconds isolation_timeout{2'000};
     /// How long the state of an ended job can be queried.
     milliseconds status_kept{120'000};
+    /// Time between two records of the learnt speeds of workers. A successor
+    /// learns anew what the last one does not tell.
+    milliseconds speeds_interval{5'000};
     /// Time between two deletions of obsolete records from the store's topics.
     milliseconds cleanup_interval{2'000};
 };
@@ -229,6 +234,9 @@
 
     /// One line for the dump of the process state.
     [[nodiscard]] std::string describe() const;
+    /// The learnt speeds, as `WORKER:PERCENT/RUNS` separated by commas; `even`
+    /// if workers do not differ.
+    [[nodiscard]] std::string describe_speeds() const;
 
 private:
     struct flush_batch;
@@ -518,6 +526,10 @@
     /// Appends changed progress and absence records to the store.
     void flush();
     void send_batch(const std::shared_ptr<flush_batch>& batch);
+    /// The record of the learnt speeds, if it is due.
+    [[nodiscard]] std::optional<store_record> speeds_record();
+    /// Takes over the speeds that an earlier owner has learnt.
+    void restore_speeds(const store_page& progress);
     void on_stored(const std::shared_ptr<flush_batch>& batch);
     /// Deletes the requests of ended jobs from the store; their progress
     /// records stay.
@@ -616,6 +628,7 @@
     std::uint64_t sequence_ = 0; ///< Of the next append to `progress`.
     bool flushing_ = false;
     instant next_flush_{};
+    instant next_speeds_record_{};
     std::vector<std::function<void()>> after_flush_;
     bool store_lost_ = false;
     instant last_store_answer_{}; ///< To a read of the registry.
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -333,6 +333,7 @@
                 max(worker->largest_capacity, registration.capacity);
         }
     }
+    restore_speeds(*read->progress);
     restore_absent_workers();
     for (const worker_entry* worker : workers_.all())
     {
@@ -383,7 +384,8 @@
         restore_absence(*absent, record);
         return;
     }
-    if (record.key == topics::removals_noted)
+    if (record.key == topics::removals_noted ||
+        record.key == topics::worker_speeds)
     {
         return;
     }
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -69,6 +69,10 @@
         on_stored(batch);
         return;
     }
+    if (auto speeds = speeds_record())
+    {
+        batch->records.push_back(*std::move(speeds));
+    }
     flushing_ = true;
     next_flush_ = now + settings_.flush_interval;
     batch->sequence = sequence_++;
@@ -76,6 +80,54 @@
     send_batch(batch);
 }
 
+std::optional<store_record> fleet_owner::speeds_record()
+{
+    const instant now = ports_.clock.now();
+    const worker_speeds& speeds = planner_.speeds();
+    if (!speeds.is_uneven() || now < next_speeds_record_)
+    {
+        return std::nullopt;
+    }
+    next_speeds_record_ = now + settings_.speeds_interval;
+    std::vector<learnt_speed> learnt;
+    for (const worker_entry* worker : workers_.all())
+    {
+        const auto known = speeds.evidence_of(worker->handle);
+        if (worker->listed && known.runs > 0)
+        {
+            learnt.emplace_back(worker->registration.id, known);
+        }
+    }
+    return store_record{0, topics::worker_speeds, encode(learnt)};
+}
+
+void fleet_owner::restore_speeds(const store_page& progress)
+{
+    for (const store_record& record : progress.records)
+    {
+        if (record.key != topics::worker_speeds || record.value.empty())
+        {
+            continue;
+        }
+        const auto learnt = decode_learnt_speeds(record.value);
+        if (!learnt)
+        {
+            ports_.events.emit(
+                {event_number::record_unreadable,
+                 {{"topic", topics::progress}, {"key", record.key}}});
+            return;
+        }
+        for (const auto& [id, known] : *learnt)
+        {
+            if (const worker_entry* worker = workers_.find(id))
+            {
+                planner_.speeds().restore(worker->handle, known);
+            }
+        }
+        planner_.speeds().update();
+    }
+}
+
 void fleet_owner::send_batch(const std::shared_ptr<flush_batch>& batch)
 {
     append_options options;
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -15,7 +15,10 @@
         {{"task", text_of(decision.task)},
          {"run", std::to_string(decision.run)},
          {"worker", decision.worker.str()},
-         {"resumes", decision.checkpoint.empty() ? "no" : "yes"}}};
+         {"resumes", decision.checkpoint.empty() ? "no" : "yes"},
+         {"speed_percent", percent_of(decision.speed)},
+         {"time_left_ms", text_of(decision.time_left)},
+         {"late_percent", percent_of(decision.chance_late)}}};
     if (const worker_entry* worker = workers_.find(decision.worker))
     {
         started.fields.emplace_back("used", text_of(worker->used));
--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -611,8 +611,16 @@
     {
         if (const job_entry* job = jobs_.find(task.step.job))
         {
+            const step_spec& spec = job->spec(task.step);
+            const bool near_data =
+                spec.data_rack.empty() ||
+                spec.data_rack == worker.registration.rack.str();
             planner_.note_run_time(
-                job->job.queue, ports_.clock.now() - started->second.started);
+                job->job.queue,
+                worker.handle,
+                ports_.clock.now() - started->second.started,
+                near_data && !spec.gang && !spec.long_running &&
+                    started->second.is_timed);
         }
     }
     workers_.remove_run(worker, task, run);
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -436,6 +436,78 @@
     return score;
 }
 
+double planner::expected_speed(
+    const planning_pass& pass, const worker_entry& worker) const
+{
+    const double speed = speeds_.speed_of(worker.handle);
+    return worker.cold_until > pass.now ? speed * settings_.cold_speed : speed;
+}
+
+milliseconds
+planner::time_left(const planning_pass& pass, const candidate& step) const
+{
+    const urgency_limits& limits = step.step->limits;
+    const instant until = pass.now <= limits.in_time_until
+                              ? limits.in_time_until
+                              : limits.useful_until;
+    // The limits leave the step the time that it is expected to take.
+    return until - pass.now +
+           run_times_.expect(step.job->job.queue, *step.spec);
+}
+
+double planner::chance_late(
+    const planning_pass& pass, const candidate& step, double speed) const
+{
+    const queue_name& queue = step.job->job.queue;
+    return speeds_.chance_longer(
+        queue,
+        speed,
+        time_left(pass, step),
+        run_times_.expect(queue, *step.spec));
+}
+
+double planner::speed_score(
+    const planning_pass& pass,
+    const candidate& step,
+    const worker_entry& worker) const
+{
+    if (!speeds_.is_uneven() && worker.cold_until <= pass.now)
+    {
+        return 0;
+    }
+    const double speed = expected_speed(pass, worker);
+    return settings_.lateness_cost * chance_late(pass, step, speed) +
+           settings_.speed_cost * std::log(speed);
+}
+
+template<class Worker>
+void planner::sort_by_speed(
+    const planning_pass& pass,
+    const candidate& step,
+    std::vector<Worker*>& workers) const
+{
+    if (!speeds_.is_uneven())
+    {
+        return;
+    }
+    std::vector<std::pair<double, Worker*>> scored;
+    scored.reserve(workers.size());
+    for (Worker* worker : workers)
+    {
+        scored.emplace_back(speed_score(pass, step, *worker), worker);
+    }
+    std::stable_sort(
+        scored.begin(),
+        scored.end(),
+        [](const auto& left, const auto& right)
+        { return left.first < right.first; });
+    std::transform(
+        scored.begin(),
+        scored.end(),
+        workers.begin(),
+        [](const auto& each) { return each.second; });
+}
+
 worker_entry* planner::best_worker(
     planning_pass& pass,
     const candidate& step,
@@ -460,7 +532,7 @@
         const double worker_score =
             trial == run_entry::trial_length::brief
                 ? static_cast<double>(worker->runs.size())
-                : score(step, task, *worker);
+                : score(step, task, *worker) + speed_score(pass, step, *worker);
         if (worker_score < best_score)
         {
             best_score = worker_score;
@@ -596,6 +668,9 @@
     {
         decision.beside = counted->second;
     }
+    decision.speed = expected_speed(pass, worker);
+    decision.time_left = time_left(pass, step);
+    decision.chance_late = chance_late(pass, step, decision.speed);
     if (step.requires_permits())
     {
         const step_permits::grant* grant =
@@ -609,6 +684,7 @@
     entry.account = step.job->job.account;
     entry.checkpoint = task.checkpoint;
     entry.started = pass.now;
+    entry.is_timed = task.checkpoint.empty();
     entry.trial = trial_of(step, index);
     pass.workers.add_run(worker, std::move(entry));
     pass.jobs.begin_run(*step.step, index, run, worker.registration.id);
@@ -666,7 +742,7 @@
             [&](const impl::fit_index::candidate& each)
             {
                 consider(pass.workers.at(each.worker));
-                return places_found < members;
+                return places_found < members * choice_factor();
             });
     }
     if (places_found < members)
@@ -683,6 +759,8 @@
                    free_fraction(
                        right->free_resources(), right->registration.capacity);
         });
+    // A gang ends with its slowest member: workers of like speed lie together.
+    sort_by_speed(pass, step, fitting);
     std::vector<worker_entry*> places;
     places.reserve(members);
     for (worker_entry* worker : fitting)
@@ -927,6 +1005,11 @@
         pass.workers.free_capacity(step.queue->service);
     if (!is_enough() && free != nullptr)
     {
+        const double permits_each = share * settings_.expected_permit_factor;
+        const auto wanted = static_cast<std::size_t>(std::ceil(std::min(
+            (wanted_permits - expected_permits) / permits_each,
+            static_cast<double>(settings_.max_workers_per_request))));
+        std::vector<const worker_entry*> fitting;
         free->visit(
             step.needs,
             [&](const impl::fit_index::candidate& each)
@@ -938,13 +1021,21 @@
                     permits.find(each.worker) == nullptr &&
                     may_run(pass, step, *worker))
                 {
-                    named.push_back(worker);
-                    expected_permits +=
-                        share * settings_.expected_permit_factor;
+                    fitting.push_back(worker);
                 }
-                return !is_enough();
+                return fitting.size() < wanted * choice_factor();
             },
             rotation_of(step.step->id));
+        sort_by_speed(pass, step, fitting);
+        for (const worker_entry* worker : fitting)
+        {
+            if (is_enough())
+            {
+                break;
+            }
+            named.push_back(worker);
+            expected_permits += permits_each;
+        }
     }
     if (expected_permits < wanted_permits &&
         step.urgency == urgency_class::in_time && permits.allowed.empty() &&
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet/job_tracker.hpp"
 #include "fleet/urgency.hpp"
+#include "fleet/worker_speeds.hpp"
 #include "fleet/worker_table.hpp"
 
 #include <map>
@@ -23,6 +24,11 @@
     /// counted on this one before; zero without a limit.
     std::uint32_t worker_limit = 0;
     std::uint32_t beside = 0;
+    double speed = 1.0; ///< Learnt speed of the worker.
+    /// Time within which the run should end, as the planner knew.
+    milliseconds time_left{0};
+    /// Probability that it takes longer.
+    double chance_late = 0;
 };
 
 /// A request to the policy service of a queue: which of these workers may run
@@ -98,6 +104,18 @@
     /// Workers with enough free resources that are compared for a task without
     /// permits; the tightest fits come first.
     std::size_t max_compared_workers = 64;
+    /// Where workers differ in speed: cost of a run that is sure to end too
+    /// late, in units of the score, whose largest part for tightness is one. A
+    /// few in a hundred more chance to be late outweigh any tightness.
+    double lateness_cost = 10.0;
+    /// Cost of a worker whose speed is higher by a factor of e: what can end in
+    /// time on a slower one leaves the fast ones to what cannot.
+    double speed_cost = 1.0;
+    /// A cold worker counts as this much slower, until its own runs tell.
+    double cold_speed = 0.6;
+    /// Factor on the number of workers that are compared for a permit request
+    /// or a gang where workers differ in speed.
+    std::size_t speed_choice_factor = 12;
     /// Steps and workers examined in one pass, so that a long queue does not
     /// keep the control thread from other calls.
     std::size_t max_examined = 100'000;
@@ -132,10 +150,25 @@
         return reserved_workers_.contains(gang);
     }
 
-    /// Records the duration of a successful run.
-    void note_run_time(const queue_name& queue, milliseconds took)
+    /// Records the duration of a successful run. `tells_speed`: nothing but the
+    /// worker's speed and chance has made it longer or shorter.
+    void note_run_time(
+        const queue_name& queue,
+        worker_handle worker,
+        milliseconds took,
+        bool tells_speed)
     {
         run_times_.note(queue, took);
+        if (tells_speed)
+        {
+            speeds_.note(queue, worker, took);
+        }
+    }
+
+    [[nodiscard]] worker_speeds& speeds() noexcept { return speeds_; }
+    [[nodiscard]] const worker_speeds& speeds() const noexcept
+    {
+        return speeds_;
     }
 
     /// Records the policy service's response to a request that named the
@@ -191,6 +224,35 @@
         const candidate& step,
         const task_entry& task,
         const worker_entry& worker);
+    /// Speed that is expected of the worker now.
+    [[nodiscard]] double
+    expected_speed(const planning_pass& pass, const worker_entry& worker) const;
+    /// Part of the score that depends on the worker's speed: how likely a run
+    /// of the step ends there after the step's time is over, and how fast a
+    /// worker it takes. Zero for all where workers do not differ.
+    [[nodiscard]] double speed_score(
+        const planning_pass& pass,
+        const candidate& step,
+        const worker_entry& worker) const;
+    /// How long a run of the step may take so that the job still ends within
+    /// its objective, or usefully where it cannot.
+    [[nodiscard]] milliseconds
+    time_left(const planning_pass& pass, const candidate& step) const;
+    /// Probability that a run of the step takes longer than that on a worker of
+    /// the given speed.
+    [[nodiscard]] double chance_late(
+        const planning_pass& pass, const candidate& step, double speed) const;
+    /// Sorts workers by `speed_score` where workers differ in speed.
+    template<class Worker>
+    void sort_by_speed(
+        const planning_pass& pass,
+        const candidate& step,
+        std::vector<Worker*>& workers) const;
+    /// How many times more workers than needed are compared for their speed.
+    [[nodiscard]] std::size_t choice_factor() const noexcept
+    {
+        return speeds_.is_uneven() ? settings_.speed_choice_factor : 1;
+    }
     /// How long a run of the task is on trial: it is, if runs of it may have
     /// crashed their workers.
     [[nodiscard]] static run_entry::trial_length
@@ -275,6 +337,7 @@
     planner_settings settings_;
     std::map<queue_name, double> allowed_share_;
     run_time_estimates run_times_;
+    worker_speeds speeds_;
     /// Workers reserved for each gang until all its members fit.
     std::map<step_id, std::vector<worker_handle>> reserved_workers_;
     std::uint64_t pass_count_ = 0;
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -37,6 +37,8 @@
     std::string checkpoint;
     double percent = 0; ///< Progress as reported by the worker.
     instant started{};
+    /// This owner has started it, from the beginning of its work.
+    bool is_timed = false;
     /// Status reports requested before this time may not list the run.
     instant confirmed{};
     /// Number of the last status report of the worker that listed the run.
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "standin/worker_pool.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace acaciastile::standin
@@ -35,6 +36,7 @@
     : clock_(clock), options_(options)
 {
     behaviour = [](const task_ref&) { return task_behaviour{}; };
+    speed = [](const worker_id&) { return 1.0; };
     crashes_after = [](const task_ref&) { return std::nullopt; };
     needs = [](const task_ref&) { return resources{}; };
     gang_size = [](const task_ref&) { return 0U; };
@@ -350,12 +352,16 @@
 {
     const std::uint32_t size = std::max(1U, gang_size(any));
     std::uint32_t present = 0;
+    double slowest = std::numeric_limits<double>::max();
     for (const auto& [id, each] : workers_)
     {
         for (const auto& [task, member_run] : each->runs)
         {
-            present += size == 1 ? task == any
-                                 : task.step == any.step && member_run == run;
+            const bool is_member =
+                size == 1 ? task == any
+                          : task.step == any.step && member_run == run;
+            present += is_member ? 1 : 0;
+            slowest = is_member ? std::min(slowest, speed(id)) : slowest;
         }
     }
     if (present < size)
@@ -364,7 +370,9 @@
     }
     const task_behaviour how = behaviour(any);
     clock_.after(
-        how.fails ? milliseconds{50} : how.work,
+        how.fails ? milliseconds{50}
+                  : milliseconds(static_cast<milliseconds::rep>(
+                        static_cast<double>(how.work.count()) / slowest)),
         [this, any, run, size, fails = how.fails]
         {
             for (const auto& [id, each] : workers_)
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -101,6 +101,8 @@
     /// refuses starts, and status polls with a lease or an acknowledged number.
     bool orders_outlive_restarts = false;
     std::function<task_behaviour(const fleet::task_ref&)> behaviour;
+    /// How many times faster than usual a worker carries out tasks.
+    std::function<double(const worker_id&)> speed;
     /// How long after the task's start its worker crashes, if it does.
     std::function<std::optional<milliseconds>(const fleet::task_ref&)>
         crashes_after;
