--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -26,6 +26,10 @@
 /// Log lines that follow each other faster than this are written together.
 constexpr milliseconds log_write_interval{20};
 constexpr milliseconds log_flush_interval{100};
+/// How long a caller's job waits for a store that refuses appends before the
+/// caller is told to come back. A store that restarts or sheds load is back
+/// within that time as a rule; a caller with several tries spans longer ones.
+constexpr milliseconds store_patience{1'000};
 constexpr const char* metrics_path = "/metrics";
 constexpr const char* state_path = "/state";
 
@@ -168,10 +172,7 @@
             fleet::job_intake::completion done)
         {
             store_locally(
-                std::move(job),
-                clock_->now() + deadline,
-                false,
-                std::move(done));
+                std::move(job), {clock_->now() + deadline}, std::move(done));
         });
     if (auto listening = listen(); !listening)
     {
@@ -381,7 +382,9 @@
     if (!owner_->is_reachable())
     {
         store_locally(
-            *shared_job, received_at + deadline, false, report_and_reply);
+            *shared_job,
+            {received_at + deadline, false, store_patience},
+            report_and_reply);
         return;
     }
     // Sending jobs to the owner batches them into a few large appends and lets
@@ -400,23 +403,20 @@
                 stored.error().effect != verdict::not_run;
             store_locally(
                 *shared_job,
-                received_at + deadline,
-                may_be_stored,
+                {received_at + deadline, may_be_stored, store_patience},
                 report_and_reply);
         });
 }
 
 void edge_process::store_locally(
     fleet::accepted_job job,
-    instant deadline,
-    bool may_be_stored,
+    const fleet::intake_terms& terms,
     fleet::job_intake::completion done)
 {
     auto shared_job = std::make_shared<fleet::accepted_job>(std::move(job));
     intake_->submit(
         *shared_job,
-        deadline,
-        may_be_stored,
+        terms,
         [this, shared_job, done = std::move(done)](
             fleet::intake_outcome outcome, const std::string& reason)
         {
--- a/src/edge/edge_process.hpp
+++ b/src/edge/edge_process.hpp
@@ -93,12 +93,10 @@
     void on_renewal_overdue() override;
     /// Destroys the `fleet_owner` unless this VM still owns the fleet.
     void destroy_lost_owner();
-    /// Writes a job to the metadata store from this VM. `may_be_stored` is true
-    /// if an earlier attempt by the owner may have stored it already.
+    /// Writes a job to the metadata store from this VM.
     void store_locally(
         fleet::accepted_job job,
-        instant deadline,
-        bool may_be_stored,
+        const fleet::intake_terms& terms,
         fleet::job_intake::completion done);
     void report_submission(
         const fleet::accepted_job& job,
--- a/src/fleet/intake.cpp
+++ b/src/fleet/intake.cpp
@@ -32,15 +32,13 @@
 }
 
 void job_intake::submit(
-    const accepted_job& job,
-    instant deadline,
-    bool may_be_stored,
-    completion done)
+    const accepted_job& job, const intake_terms& terms, completion done)
 {
     if (waiting_.size() >= settings_.max_waiting_jobs)
     {
         done(
-            may_be_stored ? intake_outcome::unknown : intake_outcome::refused,
+            terms.may_be_stored ? intake_outcome::unknown
+                                : intake_outcome::refused,
             "too many jobs wait to be stored");
         return;
     }
@@ -48,11 +46,13 @@
     entry->record = {0, job.id.str(), encode(job)};
     // A retry may arrive shortly before its deadline. As an append takes about
     // 10 ms, it can still succeed if the margin is not taken in full.
+    const instant now = clock_.now();
+    const milliseconds left = terms.deadline - now;
     entry->deadline =
-        deadline -
-        std::min(settings_.answer_margin, (deadline - clock_.now()) / 4);
+        terms.deadline - std::min(settings_.answer_margin, left / 4);
+    entry->patient_until = now + std::min(terms.patience, left / 3);
     entry->done = std::move(done);
-    entry->may_be_stored = may_be_stored;
+    entry->may_be_stored = terms.may_be_stored;
     waiting_bytes_ += entry->record.value.size();
     waiting_.push_back(entry);
     clock_.after(
@@ -92,7 +92,7 @@
 void job_intake::append_group()
 {
     const std::optional<std::size_t> topic = free_topic();
-    if (!topic || waiting_.empty())
+    if (!topic || waiting_.empty() || clock_.now() < next_append_)
     {
         return;
     }
@@ -123,8 +123,13 @@
             }
         });
     // Jobs that arrive meanwhile need another append if the store is slow.
+    append_later(settings_.slow_append_after);
+}
+
+void job_intake::append_later(milliseconds delay)
+{
     clock_.after(
-        settings_.slow_append_after,
+        delay,
         [weak = weak_from_this()]
         {
             if (const auto self = weak.lock())
@@ -140,6 +145,15 @@
     const result<log_offset>& stored)
 {
     topic_busy_[topic] = false;
+    const bool refused = !stored && stored.error().effect == verdict::not_run;
+    if (refused)
+    {
+        next_append_ = clock_.now() + settings_.refused_retry_delay;
+    }
+    else
+    {
+        next_append_ = {};
+    }
     std::vector<job_ptr> retries;
     for (const job_ptr& job : group)
     {
@@ -153,34 +167,33 @@
             job->done(intake_outcome::stored, {});
         }
         else if (
-            stored.error().effect == verdict::not_run && !job->may_be_stored)
+            refused && !job->may_be_stored && next_append_ > job->patient_until)
         {
             job->completed = true;
             job->done(intake_outcome::refused, stored.error().message);
         }
         else
         {
-            job->may_be_stored = true;
+            job->may_be_stored = job->may_be_stored || !refused;
             waiting_bytes_ += job->record.value.size();
             retries.push_back(job);
         }
     }
     if (retries.empty())
     {
+        // Further jobs wait for as long as the store refuses.
+        if (refused && !waiting_.empty())
+        {
+            append_later(settings_.refused_retry_delay);
+            return;
+        }
         append_group();
         return;
     }
     // Appending a job twice is harmless: its id is the record's key.
     waiting_.insert(waiting_.begin(), retries.begin(), retries.end());
-    clock_.after(
-        settings_.retry_delay,
-        [weak = weak_from_this()]
-        {
-            if (const auto self = weak.lock())
-            {
-                self->append_group();
-            }
-        });
+    append_later(
+        refused ? settings_.refused_retry_delay : settings_.retry_delay);
 }
 
 void job_intake::expire(const job_ptr& job)
--- a/src/fleet/intake.hpp
+++ b/src/fleet/intake.hpp
@@ -16,6 +16,9 @@
 {
     /// Delay before jobs whose append failed or timed out are appended again.
     milliseconds retry_delay{60};
+    /// Delay before a store that refused an append is asked again. Jobs that
+    /// arrive meanwhile join that append.
+    milliseconds refused_retry_delay{150};
     /// Reserved before a caller's deadline for returning the outcome; at most a
     /// quarter of the time left.
     milliseconds answer_margin{150};
@@ -46,6 +49,18 @@
     unknown  ///< May be stored now or later.
 };
 
+/// How long a job may wait to be stored.
+struct intake_terms
+{
+    instant deadline{}; ///< Of the caller.
+    /// An earlier attempt through another VM may have stored the job: the
+    /// outcome is then never `refused`.
+    bool may_be_stored = false;
+    /// How long the job waits for a store that refuses appends; at most a third
+    /// of the time to the deadline. Zero if somebody else can store it.
+    milliseconds patience{0};
+};
+
 /// Appends accepted jobs to the metadata store in groups. Jobs that arrive
 /// while the permitted appends are in flight are combined into the next one.
 class job_intake : public std::enable_shared_from_this<job_intake>
@@ -61,19 +76,16 @@
 
     /// Stores a job and calls `done` once with the outcome and, unless it is
     /// `stored`, the reason; at the latest shortly before the deadline (see
-    /// `answer_margin`). `may_be_stored` says that an earlier attempt through
-    /// another VM may have stored the job: the outcome is then never `refused`.
-    void submit(
-        const accepted_job& job,
-        instant deadline,
-        bool may_be_stored,
-        completion done);
+    /// `answer_margin`).
+    void
+    submit(const accepted_job& job, const intake_terms& terms, completion done);
 
 private:
     struct waiting_job
     {
         store_record record;
         instant deadline{};
+        instant patient_until{}; ///< Waits until then for a refusing store.
         completion done;
         bool may_be_stored = false; ///< An earlier append may have stored it.
         bool completed = false;
@@ -87,6 +99,7 @@
         metric_sink& metrics);
 
     void append_group();
+    void append_later(milliseconds delay);
     /// The topic for the next append; empty if the appends in flight have to be
     /// answered first.
     [[nodiscard]] std::optional<std::size_t> free_topic() const;
@@ -104,6 +117,8 @@
     std::size_t waiting_bytes_ = 0; ///< Of the records in `waiting_`.
     std::vector<bool> topic_busy_;  ///< An append to it is in flight.
     instant last_append_{};         ///< When the last append was sent.
+    /// When a store that refused the last append may be asked again.
+    instant next_append_{};
 };
 
 } // namespace acaciastile::fleet
--- a/tests/fleet/intake_test.cpp
+++ b/tests/fleet/intake_test.cpp
@@ -33,12 +33,12 @@
     void submit(
         const std::string& id,
         milliseconds deadline,
-        bool may_be_stored = false)
+        bool may_be_stored = false,
+        milliseconds patience = {})
     {
         intake->submit(
             job(id),
-            clock.now() + deadline,
-            may_be_stored,
+            {clock.now() + deadline, may_be_stored, patience},
             [this, id](intake_outcome outcome, const std::string&)
             {
                 REQUIRE(outcomes.count(id) == 0);
@@ -135,8 +135,7 @@
         large.request.payload = std::string(2'400, 'x');
         at.intake->submit(
             large,
-            at.clock.now() + 3s,
-            false,
+            {at.clock.now() + 3s},
             [&at, n](intake_outcome outcome, const std::string&)
             { at.outcomes["j" + std::to_string(n)] = outcome; });
         at.clock.advance(2ms);
@@ -158,3 +157,62 @@
         CHECK(stored[topic] >= jobs / 10);
     }
 }
+
+// Load: a steady stream of jobs meets a store that refuses calls for a while.
+TEST_CASE(
+    "a store that is busy for less than callers can wait refuses none",
+    "[intake]")
+{
+    fixture at;
+    at.store.mode = standin::store_mode::refusing;
+    const std::uint64_t appends_before = at.store.calls.appends;
+    for (int n = 0; n < 80; ++n)
+    {
+        at.submit("j" + std::to_string(n), 3s, false, 1s);
+        at.clock.advance(10ms);
+    }
+    CHECK(at.outcomes.empty());
+    // One append in each interval, however many jobs wait.
+    CHECK(at.store.calls.appends - appends_before < 10);
+    at.store.mode = standin::store_mode::healthy;
+    at.clock.advance(200ms);
+    REQUIRE(at.outcomes.size() == 80);
+    for (const auto& [id, outcome] : at.outcomes)
+    {
+        CHECK(outcome == intake_outcome::stored);
+    }
+}
+
+TEST_CASE(
+    "a job waits for a refusing store for a third of its time at most",
+    "[intake]")
+{
+    fixture at;
+    at.store.mode = standin::store_mode::refusing;
+    at.submit("a", 3s, false, 1s);
+    at.submit("short", 900ms, false, 1s);
+    at.clock.advance(310ms);
+    CHECK(at.outcomes.count("a") == 0);
+    CHECK(at.outcomes.at("short") == intake_outcome::refused);
+    at.clock.advance(700ms);
+    CHECK(at.outcomes.at("a") == intake_outcome::refused);
+    at.store.mode = standin::store_mode::healthy;
+    at.clock.advance(5s);
+    CHECK(at.store.newest(fleet::topics::jobs, "a").empty());
+}
+
+TEST_CASE(
+    "a job that waits for a refusing store is refused only if no append "
+    "of it may be carried out",
+    "[intake]")
+{
+    fixture at;
+    at.store.mode = standin::store_mode::refusing;
+    at.submit("a", 3s, false, 1s);
+    at.clock.advance(200ms);
+    at.store.mode = standin::store_mode::losing_answers;
+    at.clock.advance(600ms);
+    at.store.mode = standin::store_mode::refusing;
+    at.clock.advance(4s);
+    CHECK(at.outcomes.at("a") == intake_outcome::unknown);
+}
