--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -617,6 +617,7 @@
                 spec.data_rack == worker.registration.rack.str();
             planner_.note_run_time(
                 job->job.queue,
+                job->job.id,
                 worker.handle,
                 ports_.clock.now() - started->second.started,
                 near_data && !spec.gang && !spec.long_running &&
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -154,6 +154,7 @@
     /// worker's speed and chance has made it longer or shorter.
     void note_run_time(
         const queue_name& queue,
+        const job_id& job,
         worker_handle worker,
         milliseconds took,
         bool tells_speed)
@@ -161,7 +162,7 @@
         run_times_.note(queue, took);
         if (tells_speed)
         {
-            speeds_.note(queue, worker, took);
+            speeds_.note(queue, job, worker, took);
         }
     }
 
--- a/src/fleet/urgency.cpp
+++ b/src/fleet/urgency.cpp
@@ -68,7 +68,9 @@
     const auto [at, inserted] = mean_ms_.try_emplace(queue, value);
     if (!inserted)
     {
-        at->second += smoothing_factor * (value - at->second);
+        at->second += smoothing_factor *
+                      (std::min(value, longest_counted * at->second) -
+                       at->second);
     }
 }
 
--- a/src/fleet/urgency.hpp
+++ b/src/fleet/urgency.hpp
@@ -23,6 +23,9 @@
 private:
     /// Weight of the newest run in the moving average.
     static constexpr double smoothing_factor = 0.05;
+    /// A run counts as at most this multiple of the average: one in a long tail
+    /// says little of the next.
+    static constexpr double longest_counted = 3.0;
 
     std::map<queue_name, double> mean_ms_;
 };
--- a/src/fleet/worker_speeds.cpp
+++ b/src/fleet/worker_speeds.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/msgpack_fields.hpp"
 
+#include <absl/hash/hash.h>
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -30,8 +31,9 @@
 /// Workers that are needed to tell a spread of speeds.
 constexpr std::size_t least_workers = 8;
 /// Variance of the logarithms of speeds below which they count as equal, which
-/// is a standard deviation of a tenth.
-constexpr double least_variance = 0.01;
+/// is a standard deviation of a fifth. Tasks of one job are alike, so chance
+/// makes some spread that single runs do not explain.
+constexpr double least_variance = 0.04;
 /// Weight of a run in the moving variance of single runs.
 constexpr double variance_smoothing = 0.01;
 /// Variance of single runs before any is known.
@@ -106,13 +108,25 @@
 }
 
 void worker_speeds::note(
-    const queue_name& queue, worker_handle worker, milliseconds took)
+    const queue_name& queue,
+    const job_id& job,
+    worker_handle worker,
+    milliseconds took)
 {
     run_time_distribution& times = queues_[queue];
     const double speed = std::log(speed_of(worker));
     const double log_ms = log_of(took);
     times.note(log_ms + speed);
-    if (times.runs() >= least_queue_runs)
+    if (worker >= known_.size())
+    {
+        known_.resize(worker + 1);
+        speeds_.resize(worker + 1, 1.0);
+    }
+    // The tasks of a job are alike: several on one worker tell as much as one.
+    const std::size_t hash = absl::HashOf(job.str());
+    const bool is_new = known_[worker].last_job != hash;
+    known_[worker].last_job = hash;
+    if (is_new && times.runs() >= least_queue_runs)
     {
         note_deviation(worker, times.location() - log_ms);
     }
@@ -127,11 +141,6 @@
 
 void worker_speeds::note_deviation(worker_handle worker, double deviation)
 {
-    if (worker >= known_.size())
-    {
-        known_.resize(worker + 1);
-        speeds_.resize(worker + 1, 1.0);
-    }
     evidence& known = known_[worker];
     const double expected = std::log(speeds_[worker]);
     const double counted =
--- a/src/fleet/worker_speeds.hpp
+++ b/src/fleet/worker_speeds.hpp
@@ -66,10 +66,15 @@
         /// than expected, and the sum of their deviations.
         std::uint32_t odd_runs = 0;
         double odd_sum = 0;
+        std::size_t last_job = 0; ///< Hash of the job of the latest run.
     };
 
     /// Records the duration of a successful run.
-    void note(const queue_name& queue, worker_handle worker, milliseconds took);
+    void note(
+        const queue_name& queue,
+        const job_id& job,
+        worker_handle worker,
+        milliseconds took);
 
     /// Speed of the worker as a multiple of the usual one; one if it is not
     /// known to differ.
--- a/tests/fleet/worker_speeds_test.cpp
+++ b/tests/fleet/worker_speeds_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <random>
+#include <sstream>
 
 using namespace acaciastile;
 using namespace acaciastile::fleet;
@@ -30,6 +31,8 @@
             static_cast<double>(median.count()) * spread(random_) * tail /
             speed));
     }
+    /// A job of which no other run has been noted.
+    job_id job() { return job_id(std::to_string(++jobs_)); }
     worker_handle any(std::size_t workers)
     {
         return static_cast<worker_handle>(random_() % workers);
@@ -37,6 +40,7 @@
 
 private:
     std::mt19937_64 random_;
+    int jobs_ = 0;
     std::uniform_real_distribution<double> chance_{0.0, 1.0};
 };
 
@@ -49,6 +53,20 @@
     return speeds[worker % 3];
 }
 
+/// Speeds in hundredths by worker, from the owner's state dump.
+std::map<std::string, int> speeds_told_by(const fleet_owner& owner)
+{
+    std::map<std::string, int> told;
+    std::istringstream rows(owner.describe_speeds());
+    for (std::string row; std::getline(rows, row, ',');)
+    {
+        const std::size_t colon = row.find(':');
+        REQUIRE(colon != std::string::npos);
+        told[row.substr(0, colon)] = std::stoi(row.substr(colon + 1));
+    }
+    return told;
+}
+
 void learn(
     worker_speeds& speeds,
     uneven_runs& runs,
@@ -58,7 +76,7 @@
     for (std::size_t n = 0; n < count; ++n)
     {
         const worker_handle worker = runs.any(worker_count);
-        speeds.note(work, worker, runs.take(500ms, speed(worker)));
+        speeds.note(work, runs.job(), worker, runs.take(500ms, speed(worker)));
     }
 }
 
@@ -91,6 +109,23 @@
     CHECK(speeds.speed_of(7) == 1.0);
 }
 
+TEST_CASE("tasks of one job that are alike make no worker fast or slow")
+{
+    uneven_runs runs(3);
+    worker_speeds speeds;
+    for (int n = 0; n < 300; ++n)
+    {
+        const job_id job = runs.job();
+        const milliseconds took = runs.take(500ms, 1.0);
+        const worker_handle worker = runs.any(worker_count);
+        for (int task = 0; task < 8; ++task)
+        {
+            speeds.note(work, job, worker, took);
+        }
+    }
+    CHECK_FALSE(speeds.is_uneven());
+}
+
 TEST_CASE("a worker that turns slow is found after a few runs, and found well "
           "again")
 {
@@ -101,12 +136,12 @@
     REQUIRE(speeds.speed_of(fast) > 1.2);
     for (int n = 0; n < 6; ++n)
     {
-        speeds.note(work, fast, runs.take(500ms, 1.6 / 5));
+        speeds.note(work, runs.job(), fast, runs.take(500ms, 1.6 / 5));
     }
     CHECK(speeds.speed_of(fast) < 0.6);
     for (int n = 0; n < 12; ++n)
     {
-        speeds.note(work, fast, runs.take(500ms, 1.6));
+        speeds.note(work, runs.job(), fast, runs.take(500ms, 1.6));
     }
     CHECK(speeds.speed_of(fast) > 1.0);
 }
@@ -117,7 +152,7 @@
     worker_speeds speeds;
     learn(speeds, runs, 20 * worker_count, true_speed);
     const double before = speeds.speed_of(2);
-    speeds.note(work, 2, 500ms * 7);
+    speeds.note(work, runs.job(), 2, 500ms * 7);
     speeds.update();
     CHECK(speeds.speed_of(2) > before * 0.9);
 }
@@ -189,7 +224,9 @@
     {
         for (int n = first; n < last; ++n)
         {
-            world.submit("j" + std::to_string(n), {tasks(3, 5)});
+            step_spec step = tasks(3, 5);
+            step.estimate = 500ms;
+            world.submit("j" + std::to_string(n), {step});
             world.run(150ms);
         }
         world.run(8s);
@@ -213,9 +250,20 @@
     // One in three by chance, and one in two or more by the tightest fit.
     CHECK(slow_share(150, 300) < 0.1);
 
-    // Its successor has most of what it has learnt.
+    // Its successor has what it has learnt before any run of its own, and uses
+    // it once it knows the queue's run times.
+    const std::map<std::string, int> learnt = speeds_told_by(*world.owner());
+    REQUIRE_FALSE(learnt.empty());
     world.owner_vm()->kill();
     world.vms[0]->start();
     world.run(6s);
-    CHECK(slow_share(300, 330) < 0.15);
+    const std::map<std::string, int> restored = speeds_told_by(*world.owner());
+    for (const auto& [worker, percent] : learnt)
+    {
+        CAPTURE(worker);
+        REQUIRE(restored.count(worker) == 1);
+        CHECK(std::abs(restored.at(worker) - percent) <= percent / 4);
+    }
+    static_cast<void>(slow_share(300, 360));
+    CHECK(slow_share(360, 420) < 0.1);
 }
