--- a/tests/fleet/fleet_soak_test.cpp
+++ b/tests/fleet/fleet_soak_test.cpp
@@ -24,16 +24,29 @@
     /// What goes wrong.
     enum class kind
     {
-        any,    ///< All faults of workers, VMs and the store.
-        crashes ///< Workers crash, under tasks too, and change their capacity.
+        any,     ///< All faults of workers, VMs and the store.
+        crashes, ///< Workers crash, under tasks too, and change their capacity.
+        /// Data centres are evacuated and taken back on workers that differ in
+        /// speed, while VMs and the store fail.
+        evacuations
     };
 
     fleet_soak(std::uint64_t seed, bool keep_ids, kind what = kind::any)
         : random_(seed),
           keep_ids_(keep_ids),
           what_(what),
-          world_(3, worker_count)
+          world_(3, what == kind::evacuations ? 0 : worker_count)
     {
+        if (what_ == kind::evacuations)
+        {
+            for (std::size_t n = 0; n < worker_count; ++n)
+            {
+                const std::string centre = n % 2 == 0 ? "r1" : "r2";
+                world_.add_worker("w" + std::to_string(n), centre + "-1");
+            }
+            world_.workers.speed = [](const worker_id& id)
+            { return id.str().back() % 3 == 0 ? 0.6 : 1.6; };
+        }
         world_.workers.on_crash = [this](const worker_id& id) {
             later(
                 milliseconds(between(1'500, 5'000)),
@@ -144,6 +157,9 @@
     void restart(const worker_id& id);
     void resize(const worker_id& id);
     void crash_or_kill();
+    void evacuate_or_fail();
+    /// Adds starts in data centres that had been evacuated for long.
+    void check_evacuations(std::vector<std::string>& found) const;
     /// Starts a crashed worker again, under its id or another one.
     void bring_back(const worker_id& id);
     /// Adds starts that came too late after crashes under their task.
@@ -153,6 +169,8 @@
     bool keep_ids_;
     kind what_;
     std::set<job_id> deadly_; ///< Jobs whose tasks 0 crash their workers.
+    /// Changes of the evacuations, by data centre.
+    std::map<std::string, std::vector<std::pair<instant, bool>>> evacuated_;
     std::map<worker_id, instant> resized_;
     std::map<worker_id, std::vector<life>> lives_;
     std::set<worker_id> names_;
@@ -420,8 +438,56 @@
     }
 }
 
+void fleet_soak::evacuate_or_fail()
+{
+    if (chance(40))
+    {
+        disrupt_vm();
+        return;
+    }
+    const std::string centre = chance(50) ? "r1" : "r2";
+    auto& changes = evacuated_[centre];
+    const bool evacuated = changes.empty() || !changes.back().second;
+    changes.emplace_back(world_.clock.now(), evacuated);
+    world_.evacuate(centre, evacuated);
+}
+
+void fleet_soak::check_evacuations(std::vector<std::string>& found) const
+{
+    // The bound of an evacuation, and the longest outage of the store, during
+    // which no owner can hear of it.
+    constexpr milliseconds bound = 5s + 3s;
+    for (const standin::worker_event& each : world_.workers.events())
+    {
+        const std::string centre =
+            each.worker.str().back() % 2 == 0 ? "r1" : "r2";
+        const auto changes = evacuated_.find(centre);
+        if (each.what != standin::worker_event::kind::started ||
+            changes == evacuated_.end())
+        {
+            continue;
+        }
+        std::pair<instant, bool> latest{};
+        for (const auto& change : changes->second)
+        {
+            latest = change.first <= each.at ? change : latest;
+        }
+        if (latest.second && each.at > latest.first + bound)
+        {
+            found.push_back(
+                "started in the evacuated " + centre + ": " +
+                each.task.step.job.str());
+        }
+    }
+}
+
 void fleet_soak::disrupt()
 {
+    if (what_ == kind::evacuations)
+    {
+        evacuate_or_fail();
+        return;
+    }
     if (what_ == kind::crashes)
     {
         crash_or_kill();
@@ -477,6 +543,10 @@
         }
     }
     check_crashes(found);
+    if (what_ == fleet_soak::kind::evacuations)
+    {
+        check_evacuations(found);
+    }
     return found;
 }
 
@@ -560,3 +630,27 @@
     }
     CHECK(starts > 100 * static_cast<std::size_t>(seeds));
 }
+
+// Guards against starts in an evacuated data centre around changes of the owner
+// and outages of the store.
+TEST_CASE(
+    "a soak of evacuations starts nothing in an evacuated data centre",
+    "[fleet][soak]")
+{
+    const int first = setting("ACACIASTILE_SOAK_FIRST", 1);
+    const int seeds = setting("ACACIASTILE_SOAK_SEEDS", 8);
+    std::size_t starts = 0;
+    for (int seed = first; seed < first + seeds; ++seed)
+    {
+        fleet_soak soak(
+            static_cast<std::uint64_t>(seed),
+            true,
+            fleet_soak::kind::evacuations);
+        soak.run(60s);
+        const std::vector<std::string> broken = soak.broken();
+        CAPTURE(seed, broken);
+        CHECK(broken.empty());
+        starts += soak.starts();
+    }
+    CHECK(starts > 100 * static_cast<std::size_t>(seeds));
+}
