The record of learnt speeds stays within the store's limit

Cause: found by reading: at more than some 10,000 workers the record would exceed the store's 256 KiB, and the append that carries it, with the progress of jobs, would be refused for good.

Change: at most 8,000 workers are stored.

Result: no run at that size; the tests of src/fleet pass.

--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -5,6 +5,15 @@
 namespace acaciastile::fleet
 {
 
+namespace
+{
+
+/// Workers whose learnt speeds are stored. A row takes up to 32 bytes, and the
+/// store takes records of 256 KiB.
+constexpr std::size_t max_stored_speeds = 8'000;
+
+} // namespace
+
 /// One append to the progress topic, and what to update once it is stored.
 struct fleet_owner::flush_batch
 {
@@ -93,7 +102,8 @@
     for (const worker_entry* worker : workers_.all())
     {
         const auto known = speeds.evidence_of(worker->handle);
-        if (worker->listed && known.runs > 0)
+        if (worker->listed && known.runs > 0 &&
+            learnt.size() < max_stored_speeds)
         {
             learnt.emplace_back(worker->registration.id, known);
         }
--- a/src/fleet/worker_speeds.cpp
+++ b/src/fleet/worker_speeds.cpp
@@ -260,8 +260,7 @@
 
 std::string encode(const std::vector<learnt_speed>& learnt)
 {
-    // Hundredths of a mean deviation and whole runs: 23,000 workers fit into
-    // one record of the store.
+    // Hundredths of a mean deviation and whole runs keep a row small.
     constexpr double unit = 100.0;
     json rows = json::array();
     for (const auto& [worker, known] : learnt)
