--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -483,9 +483,10 @@
     {
         return 0;
     }
-    const double speed = expected_speed(pass, worker);
-    return settings_.lateness_cost * chance_late(pass, step, speed) +
-           settings_.speed_cost * std::log(speed);
+    // A cold worker is no slow one that work with time to spare should take.
+    return settings_.lateness_cost *
+               chance_late(pass, step, expected_speed(pass, worker)) +
+           settings_.speed_cost * std::log(speeds_.speed_of(worker.handle));
 }
 
 template<class Worker>
--- a/tests/fleet/planner_test.cpp
+++ b/tests/fleet/planner_test.cpp
@@ -203,3 +203,28 @@
     REQUIRE(after.starts.size() == 1);
     CHECK(after.starts.front().worker == both[0]);
 }
+
+// Load: a data centre is taken back and its workers are cold.
+TEST_CASE("cold workers take what fits on no warm one")
+{
+    planner_fixture fixture(4);
+    queue_settings queue = *fixture.config.find(queue_name("work"));
+    queue.advice.reset();
+    account_settings account;
+    account.name = account_name("acct");
+    fixture.config = configuration(1, {queue}, {account}, {});
+    for (const char* cold : {"w0", "w1"})
+    {
+        fixture.workers.find(worker_id(cold))->cold_until = fixture.now + 5s;
+    }
+    // Two tasks fit on each worker.
+    fixture.submit("a", 4);
+    for (const start_decision& each : fixture.decide().starts)
+    {
+        CHECK(
+            (each.worker == worker_id("w2") || each.worker == worker_id("w3")));
+    }
+    fixture.submit("b", 2);
+    const plan later = fixture.decide();
+    CHECK(later.starts.size() == 2);
+}
