--- a/src/edge/config_watch.cpp
+++ b/src/edge/config_watch.cpp
@@ -141,7 +141,7 @@
 
 void config_watch::read_now()
 {
-    // The first read is in flight until then, and serves as well.
+    // Before the first read is answered it is not known where to read on.
     if (!first_read_done_ || read_now_in_flight_ || refreshing_.empty())
     {
         return;
--- a/src/fleet/intake.cpp
+++ b/src/fleet/intake.cpp
@@ -149,6 +149,8 @@
     if (refused)
     {
         next_append_ = clock_.now() + settings_.refused_retry_delay;
+        // The store may refuse this topic alone.
+        settings_.first_topic = (topic + 1) % topic_busy_.size();
     }
     else
     {
--- a/tests/fleet/intake_test.cpp
+++ b/tests/fleet/intake_test.cpp
@@ -216,3 +216,22 @@
     at.clock.advance(4s);
     CHECK(at.outcomes.at("a") == intake_outcome::unknown);
 }
+
+// Guards against a VM that refuses all jobs because the store is away for the
+// one topic that it uses first.
+TEST_CASE("a store that refuses one topic alone refuses no job", "[intake]")
+{
+    fixture at;
+    at.link.rejected_appends.insert(fleet::topics::job_topics[0]);
+    for (int n = 0; n < 20; ++n)
+    {
+        at.submit("j" + std::to_string(n), 3s, false, 1s);
+        at.clock.advance(50ms);
+    }
+    at.clock.advance(500ms);
+    REQUIRE(at.outcomes.size() == 20);
+    for (const auto& [id, outcome] : at.outcomes)
+    {
+        CHECK(outcome == intake_outcome::stored);
+    }
+}
