--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -506,6 +506,18 @@
         capacity.milli_processors / 1000,
         " questions=",
         dispatcher_.waiting_questions(),
+        " median_ms=",
+        absl::StrJoin(
+            jobs_.queue_names(),
+            ",",
+            [this](std::string* out, const queue_name& name)
+            {
+                absl::StrAppend(
+                    out,
+                    name.str(),
+                    ":",
+                    planner_.speeds().typical(name).count());
+            }),
         " speeds=",
         describe_speeds(),
         " evacuated=",
--- a/tests/fleet/evacuation_test.cpp
+++ b/tests/fleet/evacuation_test.cpp
@@ -105,6 +105,9 @@
     CHECK(world.started_in_r1_since(known) == 0);
     CHECK(world.events.count(event_number::run_stopped) == 0);
     CHECK(world.events.count(event_number::evacuation_begun) == 1);
+    const std::string dump = world.owner()->describe();
+    CHECK(dump.find(" evacuated=r1") != std::string::npos);
+    CHECK(dump.find(" median_ms=work:") != std::string::npos);
 
     world.evacuate("r1", false);
     world.run(heard);
