--- a/src/fleet/crash_record.cpp
+++ b/src/fleet/crash_record.cpp
@@ -11,9 +11,6 @@
 
 /// Crashes soon after its start, one of them `sole`, that convict a task.
 constexpr std::size_t prompt_crashes_to_convict = 2;
-/// Crashes of any kind, one of them `sole`, that convict a task. Further ones
-/// may not have been counted, as an owner may die with a worker.
-constexpr std::size_t crashes_to_convict_tried = 3;
 /// Crashes of any kind after which the task is tried until its run ends.
 constexpr std::size_t crashes_to_long_trial = 3;
 /// Crashes of any kind that convict a task. A task may be started twice more
@@ -66,7 +63,7 @@
     const std::size_t prompt = count(crash_blame::shared);
     const bool tried = count(crash_blame::sole) > 0;
     return (tried && (prompt >= prompt_crashes_to_convict ||
-                      crashes_.size() >= crashes_to_convict_tried)) ||
+                      crashes_.size() > crashes_to_long_trial)) ||
            count(crash_blame::late) >= crashes_to_convict;
 }
 
--- a/src/fleet/crash_record.hpp
+++ b/src/fleet/crash_record.hpp
@@ -55,9 +55,9 @@
     /// True if no other run may start on its worker until it has ended: crashes
     /// under it keep coming, and not soon after its starts.
     [[nodiscard]] bool needs_long_trial() const noexcept;
-    /// True if the task is not started any more. It takes two crashes soon
-    /// after its start, or three of any kind, one of them with no other run to
-    /// blame: a rack that crashes twice makes suspects of all that runs there.
+    /// True if the task is not started any more. It takes two crashes, one of
+    /// them with no other run to blame: a rack that crashes twice makes
+    /// suspects of all that runs there.
     [[nodiscard]] bool is_convicted() const noexcept;
 
     [[nodiscard]] const std::vector<crash>& crashes() const noexcept
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -307,8 +307,7 @@
 bool worker_table::has_just_started(
     const worker_entry& worker, const run_entry& run) const
 {
-    if (run.trial == run_entry::trial_length::until_end &&
-        (run.alive_at || worker.connection_broke))
+    if (run.trial == run_entry::trial_length::until_end && run.alive_at)
     {
         return true; // Nothing else has started there since.
     }
