--- a/src/fleet/intake.cpp
+++ b/src/fleet/intake.cpp
@@ -64,6 +64,11 @@
                 self->expire(entry);
             }
         });
+    if (now < next_append_ && waiting_.size() == 1)
+    {
+        append_later(next_append_ - now); // Later ones join this append.
+        return;
+    }
     append_group();
 }
 
--- a/tests/fleet/intake_test.cpp
+++ b/tests/fleet/intake_test.cpp
@@ -235,3 +235,20 @@
         CHECK(outcome == intake_outcome::stored);
     }
 }
+
+// Guards against a job that nothing appends: it arrived while a store that had
+// refused an earlier one was not asked, and no other job followed.
+TEST_CASE(
+    "a job that follows a refused one is stored without a third", "[intake]")
+{
+    fixture at;
+    at.store.mode = standin::store_mode::refusing;
+    at.submit("a", 3s);
+    at.clock.advance(50ms);
+    REQUIRE(at.outcomes.at("a") == intake_outcome::refused);
+    at.store.mode = standin::store_mode::healthy;
+    at.submit("b", 3s);
+    at.clock.advance(300ms);
+    REQUIRE(at.outcomes.count("b") == 1);
+    CHECK(at.outcomes.at("b") == intake_outcome::stored);
+}
