The end of a run of an ended job whose request is deleted ends no process

Cause: fleet_owner::end_run reads the step of a run that ended well, to note how long it took. A job that is known only by its stored end has no steps: its request was deleted. An owner that has taken over learns of such runs from its workers, so a report of a worker ended its process.

Change: the run time is noted only if the job has that step. No other use of a job's steps was found that can come before the step is known to exist.

--- a/src/fleet/owner_workers.cpp
+++ b/src/fleet/owner_workers.cpp
@@ -609,7 +609,9 @@
     const auto started = worker.runs.find({task, run});
     if (how == run_end::done && started != worker.runs.end())
     {
-        if (const job_entry* job = jobs_.find(task.step.job))
+        // The steps of an ended job are not known if its request was deleted.
+        if (const job_entry* job = jobs_.find(task.step.job);
+            job != nullptr && task.step.step < job->job.request.steps.size())
         {
             const step_spec& spec = job->spec(task.step);
             const bool near_data =
--- a/tests/fleet/take_over_test.cpp
+++ b/tests/fleet/take_over_test.cpp
@@ -402,3 +402,29 @@
     CHECK(world.starts_of("a").size() == 1);
     CHECK(world.broken_promises().empty());
 }
+
+// Guards against an owner whose process a worker's report ends: it read the
+// steps of an ended job whose request is not stored any more.
+TEST_CASE(
+    "a run of an ended job ends after the job's request was deleted", "[fleet]")
+{
+    fleet_world world(2, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{4s, false};
+    };
+    world.submit("a", {tasks(1)});
+    REQUIRE(world.run_until("a", job_state::running, 5s));
+    world.owner_vm()->kill();
+    fleet::job_progress cancelled;
+    cancelled.state = job_state::cancelled;
+    cancelled.ended = world.clock.wall();
+    world.store.put(fleet::topics::progress, "a", encode(cancelled));
+    world.store.put(fleet::topics::jobs, "a", "");
+    world.workers.faults_of(worker_id("w0")).losing_stops = true;
+    world.run(10s);
+    REQUIRE(world.owner() != nullptr);
+    CHECK(world.view("a").state == job_state::cancelled);
+    CHECK(world.workers.running() == 0);
+    CHECK(world.workers.acknowledged_of(worker_id("w0")) == 1);
+    CHECK(world.starts_of("a").size() == 1);
+}
