A failing test: a job is given up for orders to workers that had crashed before

The stand-in of the workers learns that clients keep connections, so that an order to a crashed worker has an unknown effect.

--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -180,7 +180,11 @@
     }
     if (at->second->active_faults.refusing || at->second->crashed)
     {
-        done(refuse(refusal_code::unreachable, "refused"));
+        const bool sent = kept_connections && at->second->crashed;
+        done(refuse(
+            refusal_code::unreachable,
+            sent ? verdict::may_have_run : verdict::not_run,
+            "refused"));
         return;
     }
     const std::shared_ptr<incarnation_state> target_worker = at->second;
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -100,6 +100,11 @@
     /// present one, also when they arrive late. Otherwise the present one
     /// refuses starts, and status polls with a lease or an acknowledged number.
     bool orders_outlive_restarts = false;
+    /// Clients keep connections to workers. A call to a worker that has crashed
+    /// goes out on one of them and gets no reply, so the client does not know
+    /// whether it was carried out. Otherwise such a call is known not to have
+    /// been.
+    bool kept_connections = false;
     std::function<task_behaviour(const fleet::task_ref&)> behaviour;
     /// How many times faster than usual a worker carries out tasks.
     std::function<double(const worker_id&)> speed;
--- a/tests/fleet/crashing_tasks_test.cpp
+++ b/tests/fleet/crashing_tasks_test.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
+#include <random>
 #include <set>
 
 using namespace acaciastile;
@@ -303,3 +305,76 @@
     REQUIRE(workers.blame(worker).size() == 1);
     CHECK(workers.blame(worker).front().blame == fleet::crash_blame::late);
 }
+
+// Guards against a job that is given up for orders to workers that had crashed
+// before and were not missed, as they had no runs: none of its tasks has
+// crashed a worker.
+TEST_CASE(
+    "a job is given up only if two workers have crashed under one of its tasks",
+    "[fleet][known-red]")
+{
+    constexpr std::size_t worker_count = 16;
+    constexpr std::size_t crashes_at_a_time = 5;
+    constexpr int jobs = 300;
+    const bool change_ids = GENERATE(false, true);
+    const unsigned seed = GENERATE(1, 2, 3, 4, 5, 6);
+    fleet_world world(2, worker_count);
+    world.crashes_change_ids = change_ids;
+    world.crash_recovery = 1'100ms;
+    world.workers.kept_connections = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{600ms, false};
+    };
+    std::mt19937 random(seed);
+    std::vector<std::size_t> slots(worker_count);
+    std::vector<std::string> ids(worker_count);
+    for (std::size_t n = 0; n < worker_count; ++n)
+    {
+        slots[n] = n;
+        ids[n] = "w" + std::to_string(n);
+    }
+    std::size_t crashes = 0;
+    for (int n = 0; n < jobs; ++n)
+    {
+        // Each task fills most of a worker.
+        world.submit("j" + std::to_string(n), {tasks(2, 12)});
+        world.run(100ms);
+        if (n % 20 != 10)
+        {
+            continue;
+        }
+        std::shuffle(slots.begin(), slots.end(), random);
+        for (std::size_t at = 0; at < crashes_at_a_time; ++at)
+        {
+            std::string& id = ids[slots[at]];
+            world.workers.crash(worker_id(id));
+            ++crashes;
+            world.run(130ms); // Their later processes register one by one.
+            if (change_ids)
+            {
+                id = "w" + std::to_string(slots[at]) + "~" +
+                     std::to_string(crashes);
+            }
+        }
+    }
+    world.run(30s);
+    std::map<fleet::task_ref, std::size_t> crashes_under;
+    for (const standin::worker_event& each : world.workers.events())
+    {
+        crashes_under[each.task] +=
+            each.what == standin::worker_event::kind::ended &&
+                    each.how == fleet::run_end::lapsed
+                ? 1
+                : 0;
+    }
+    for (int n = 0; n < jobs; ++n)
+    {
+        const job_id id("j" + std::to_string(n));
+        const job_state state = world.view(id.str()).state;
+        const std::size_t most = std::max(
+            crashes_under[{{id, 0, 0}, 0}], crashes_under[{{id, 0, 0}, 1}]);
+        CAPTURE(change_ids, seed, id.str(), most);
+        CHECK((state == job_state::completed || most >= 2));
+    }
+    CHECK(world.broken_promises().empty());
+}
