--- a/src/fleet/owner_crashes.cpp
+++ b/src/fleet/owner_crashes.cpp
@@ -38,6 +38,24 @@
     {
         count_crash(worker.registration.id, each, name_of(proof));
     }
+    for (const run_ref& each : workers_.unproven(worker))
+    {
+        // Not held against it, but its next run tells more: it goes alone to a
+        // worker that has just answered.
+        task_entry* task = jobs_.find(each.task);
+        if (task == nullptr || kept.contains(each))
+        {
+            continue;
+        }
+        task->crashes.suspect();
+        ports_.metrics.count("fleet_crashes_unproven", name_of(proof), 1);
+        ports_.events.emit(
+            {event_number::crash_unproven,
+             {{"task", text_of(each.task)},
+              {"run", std::to_string(each.run)},
+              {"worker", worker.registration.id.str()},
+              {"proof", std::string(name_of(proof))}}});
+    }
 }
 
 void fleet_owner::count_crash(
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -51,6 +51,11 @@
     order.payload = job->job.request.payload;
     order.checkpoint = decision.checkpoint;
     order.permit = decision.ticket;
+    if (const auto at = worker->runs.find({decision.task, decision.run});
+        at != worker->runs.end())
+    {
+        order.after_answer = at->second.trial != run_entry::trial_length::none;
+    }
     // Taken first: the process may stand still at any point, also in a round.
     const instant now = ports_.clock.now();
     if (!is_confirmed())
@@ -183,6 +188,9 @@
         return;
     }
     const bool broke = answer.error().code == refusal_code::unreachable;
+    run.sent_to_live_worker = run.sent_to_live_worker ||
+                              (run.trial != run_entry::trial_length::none &&
+                               answer.error().effect == verdict::may_have_run);
     ports_.events.emit(
         {event_number::start_unanswered,
          {{"task", text_of(decision.task)},
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -123,6 +123,10 @@
     std::string payload;
     std::string checkpoint; ///< Empty: starts from the beginning.
     std::string permit;     ///< Of the policy service; empty without one.
+    /// The order is sent only just after the worker has answered another call
+    /// on the same connection. If the worker has ended its process before, the
+    /// order is known not to have run.
+    bool after_answer = false;
 };
 
 /// A run as a worker reports it while it is running.
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -346,9 +346,11 @@
     for (const auto& [id, run] : worker.runs)
     {
         const bool just_started = has_just_started(worker, run);
-        if (!run.recorded_blame && !run.alive_at && !just_started)
+        // The worker may have outlived an order that it did not answer.
+        if (!is_known_there(run) ||
+            (!run.recorded_blame && !run.alive_at && !just_started))
         {
-            continue; // It is not known to have been there.
+            continue;
         }
         const crash_blame each =
             run.recorded_blame ? *run.recorded_blame
@@ -361,6 +363,19 @@
     return blamed;
 }
 
+std::vector<run_ref> worker_table::unproven(const worker_entry& worker) const
+{
+    std::vector<run_ref> found;
+    for (const auto& [id, run] : worker.runs)
+    {
+        if (!is_known_there(run) && has_just_started(worker, run))
+        {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 void worker_table::end_trial(worker_entry& worker, run_entry& run)
 {
     if (run.trial == run_entry::trial_length::brief && is_settled(worker, run))
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -58,6 +58,9 @@
     trial_length trial = trial_length::none;
     /// The worker's clock when the run was first known to be there.
     std::optional<worker_instant> alive_at;
+    /// Its order got no answer, but went out just after the worker had answered
+    /// (`start_order::after_answer`).
+    bool sent_to_live_worker = false;
     instant alive_noted{}; ///< When that was known, on this VM's clock.
     /// What an earlier owner has recorded for the case of a crash.
     std::optional<crash_blame> recorded_blame;
@@ -279,6 +282,10 @@
     /// leaves out those that are not known to have been there.
     [[nodiscard]] std::vector<blamed_run>
     blame(const worker_entry& worker) const;
+    /// Runs of which it is not known whether their start came before a crash of
+    /// the worker since its last answer: the worker may have crashed before.
+    [[nodiscard]] std::vector<run_ref>
+    unproven(const worker_entry& worker) const;
     /// Ends the brief trial of a run that is settled.
     void end_trial(worker_entry& worker, run_entry& run);
 
@@ -335,6 +342,11 @@
     /// Adds the worker to the indexes by service and rack.
     void index(worker_entry& worker);
     void update_free(const worker_entry& worker);
+    /// True if the run has begun, or its order has reached the living worker.
+    [[nodiscard]] static bool is_known_there(const run_entry& run)
+    {
+        return run.recorded_blame || run.alive_at || run.sent_to_live_worker;
+    }
     /// True if a crash of the worker may have followed the run's start at once.
     [[nodiscard]] bool
     has_just_started(const worker_entry& worker, const run_entry& run) const;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -207,8 +207,9 @@
 
 void http_client::proceed(const exchange_ptr& call_state)
 {
-    const std::uint64_t required = call_state->check.required;
-    if (required != 0 && call_state->conn->peer != required)
+    const peer_check& check = call_state->check;
+    if (check.required != 0 &&
+        (check.always_introduce || call_state->conn->peer != check.required))
     {
         introduce(call_state);
         return;
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -90,6 +90,9 @@
     /// process is not known, if one is required. It must do no harm in any
     /// process at the endpoint.
     std::function<http_request()> introduction;
+    /// The introduction is sent on every connection if a process is required,
+    /// so that the request goes out only just after that process has answered.
+    bool always_introduce = false;
     /// If there is no response to the introduction for this long, it is sent
     /// once more on a new connection.
     milliseconds introduction_timeout{200};
--- a/src/observe/metric_kind.hpp
+++ b/src/observe/metric_kind.hpp
@@ -108,6 +108,11 @@
      "blame",
      "Crashes of workers that were counted against a run, by how far the run "
      "is to blame."},
+    {"fleet_crashes_unproven",
+     metric_type::counter,
+     "proof",
+     "Orders to workers that crashed, of which it is not known whether they "
+     "arrived before, by what shows the crash."},
     {"fleet_jobs_given_up",
      metric_type::counter,
      "",
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -481,6 +481,11 @@
     fleet::completion<fleet::start_answer> done)
 {
     const auto known = workers_.find(target.id);
+    if (order.after_answer && known != workers_.end() && known->second->crashed)
+    {
+        done(refuse(refusal_code::unreachable, "refused"));
+        return;
+    }
     if (known != workers_.end() &&
         known->second->active_faults.earlier_copy.count() > 0)
     {
--- a/tests/fleet/crashing_tasks_test.cpp
+++ b/tests/fleet/crashing_tasks_test.cpp
@@ -278,6 +278,13 @@
     run.run = 1;
     run.started = sent;
     workers.add_run(worker, run);
+    // The worker may have crashed before the order reached it.
+    CHECK(workers.blame(worker).empty());
+    CHECK(workers.unproven(worker) == std::vector{fleet::run_ref{run.task, 1}});
+    run.sent_to_live_worker = true;
+    REQUIRE(workers.remove_run(worker, run.task, 1));
+    workers.add_run(worker, run);
+    CHECK(workers.unproven(worker).empty());
     REQUIRE(workers.blame(worker).size() == 1);
     CHECK(workers.blame(worker).front().blame == fleet::crash_blame::sole);
     workers.note_clock(worker, worker_instant(21s), sent + 1s, sent + 1s);
@@ -311,7 +318,7 @@
 // crashed a worker.
 TEST_CASE(
     "a job is given up only if two workers have crashed under one of its tasks",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     constexpr std::size_t worker_count = 16;
     constexpr std::size_t crashes_at_a_time = 5;
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -215,14 +215,18 @@
         listen();
     }
 
-    http_outcome
-    call_to(std::uint64_t required, std::string body, milliseconds timeout = 2s)
+    http_outcome call_to(
+        std::uint64_t required,
+        std::string body,
+        milliseconds timeout = 2s,
+        bool always_introduce = false)
     {
         std::optional<http_outcome> outcome;
         http_request request{http::verb::post, "/", 11};
         request.body() = std::move(body);
         peer_check check;
         check.required = required;
+        check.always_introduce = always_introduce;
         check.introduction = []
         {
             http_request hello{http::verb::post, "/", 11};
@@ -307,6 +311,22 @@
     CHECK(at.client.counts().connects == 1);
 }
 
+// Guards against an order that a process is blamed for although the one at the
+// other end had ended before: the call has to find it alive.
+TEST_CASE("a call may require an answer just before it", "[net]")
+{
+    peer_fixture at;
+    REQUIRE(at.call_to(1, "order").answered());
+    REQUIRE(at.call_to(1, "trial", 2s, true).answered());
+    CHECK(at.received == bodies{"hello", "order", "hello", "trial"});
+    CHECK(at.client.counts().connects == 1);
+    at.server.reset();
+    const http_outcome outcome = at.call_to(1, "trial", 2s, true);
+    CHECK_FALSE(outcome.answered());
+    CHECK(outcome.effect == verdict::not_run);
+    CHECK_FALSE(outcome.unanswered_copy);
+}
+
 // Guards against connections to an earlier process that are kept.
 TEST_CASE("an idle connection to another process is closed", "[net]")
 {
