--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -244,6 +244,11 @@
 
     /// Token of the first owner, which has no predecessor.
     static constexpr std::uint64_t first_token = 1;
+    /// How long a reported run of an unknown job is kept, counted from the time
+    /// at which all leases of earlier owners have expired. An outage of the
+    /// store may delay the job's record; after this time the job counts as
+    /// deleted.
+    static constexpr milliseconds unread_job_timeout{30'000};
 
     fleet_owner(
         owner_settings settings, owner_ports ports, std::uint64_t token);
--- /dev/null
+++ b/src/fleet/owner_registry.cpp
@@ -0,0 +1,114 @@
+#include "fleet/owner.hpp"
+
+namespace acaciastile::fleet
+{
+
+void fleet_owner::apply_registration(const store_record& record)
+{
+    if (record.value.empty())
+    {
+        workers_.unlist(worker_id(record.key), record.offset);
+        return;
+    }
+    const auto registration =
+        ports_.foreign.read_registration(record.key, record.value);
+    if (!registration)
+    {
+        return; // Not a worker's registration.
+    }
+    const worker_entry* before = workers_.find(registration->id);
+    const bool was_draining =
+        before != nullptr && before->registration.draining;
+    if (workers_.upsert(*registration, record.offset))
+    {
+        worker_entry* worker = workers_.find(registration->id);
+        workers_.unseal(*worker); // A new process has not seen the token.
+        raise_token(*worker);
+        worker->next_hold = {};
+        if (loaded_ && before == nullptr && !inherited_may_start())
+        {
+            // The previous owner may have started tasks on it.
+            unsealed_workers_.insert(registration->id);
+        }
+    }
+    worker_entry& described = *workers_.find(registration->id);
+    if (registration->cold > milliseconds::zero())
+    {
+        described.cold_until = ports_.clock.now() + registration->cold;
+    }
+    schedule_poll(described);
+    if (registration->draining && !was_draining)
+    {
+        ports_.events.emit(
+            {event_number::worker_draining,
+             {{"worker", registration->id.str()},
+              {"offset", std::to_string(record.offset)}}});
+    }
+}
+
+void fleet_owner::poll_registry()
+{
+    ports_.store.read(
+        ports_.foreign.registry_topic(),
+        registry_next_,
+        milliseconds::zero(),
+        guarded(
+            [](fleet_owner& self, const result<store_page>& page)
+            {
+                if (page || page.error().code == refusal_code::offset_expired)
+                {
+                    self.last_store_answer_ = self.ports_.clock.now();
+                }
+                if (page)
+                {
+                    for (const store_record& record : page->records)
+                    {
+                        self.apply_registration(record);
+                    }
+                    self.registry_next_ = page->end;
+                    self.schedule_round();
+                }
+                else if (page.error().code == refusal_code::offset_expired)
+                {
+                    self.reload_registry();
+                    return;
+                }
+                self.later(
+                    self.settings_.registry_poll_interval,
+                    &fleet_owner::poll_registry);
+            }));
+}
+
+void fleet_owner::reload_registry()
+{
+    ports_.store.read_newest(
+        ports_.foreign.registry_topic(),
+        guarded(
+            [](fleet_owner& self, const result<store_page>& page)
+            {
+                if (page)
+                {
+                    std::set<worker_id> listed;
+                    for (const store_record& record : page->records)
+                    {
+                        listed.insert(worker_id(record.key));
+                        self.apply_registration(record);
+                    }
+                    for (const worker_entry* worker : self.workers_.all())
+                    {
+                        const worker_id& id = worker->registration.id;
+                        if (worker->listed && !listed.contains(id))
+                        {
+                            self.workers_.unlist(id, page->end);
+                        }
+                    }
+                    self.registry_next_ = page->end;
+                    self.schedule_round();
+                }
+                self.later(
+                    self.settings_.registry_poll_interval,
+                    &fleet_owner::poll_registry);
+            }));
+}
+
+} // namespace acaciastile::fleet
