A restart under the same id is judged by the silence before it

Cause: the first answer of the later life made the worker count as reachable before its restart was judged. So neither the break of a connection nor the 150 ms after a start were looked at, and each run since the last status counted as one that had just started.

Change: the worker counts as reachable once its status is applied.

Result: "a restart after a silence is not blamed on runs that had ended" and "a crash long after the start is not a prompt one" failed before where the id stays, and pass; the other tests pass.

--- a/src/fleet/owner_polls.cpp
+++ b/src/fleet/owner_polls.cpp
@@ -154,13 +154,14 @@
     {
         if (!worker->reachable)
         {
-            worker->reachable = true;
             ports_.events.emit(
                 {event_number::worker_regained, {{"worker", id.str()}}});
         }
         worker->acknowledgement_sent =
             std::max(worker->acknowledgement_sent, acknowledged);
+        // A restart is judged by what is known of the silence before.
         apply_status(*worker, sent_at, token, *status);
+        worker->reachable = true;
         poll_if_due(*worker);
         schedule_round();
         return;
