The next owner counts no crash for an order without an answer

Cause: a record of absence lists all runs that may exist on a worker, orders without an answer too, and a successor held a crash against each run that it lists (beside). Three of these and one crash alone convict a task.

Change: the record names the runs that are known to have been there; only those are held against.

Result: "an order without an answer is no crash for the next owner" failed before (three crashes counted, none under the task) and passes; the other tests pass.

--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -1,6 +1,9 @@
 #include "fleet/event_text.hpp"
 #include "fleet/owner.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 namespace acaciastile::fleet
 {
 
@@ -28,12 +31,9 @@
             worker->registration.incarnation > absence.incarnation)
         {
             // A restart has ended the recorded runs.
-            for (const auto& [task, number] : absence.runs)
+            for (const blamed_run& each : absence.blamed)
             {
-                count_crash(
-                    id,
-                    {{task, number}, absence.blame_of({task, number})},
-                    name_of(presumed_end::worker_restarted));
+                count_crash(id, each, name_of(presumed_end::worker_restarted));
             }
             absences_.remove_absence(id);
             continue;
@@ -50,7 +50,12 @@
         }
         workers_.set_unreachable(*worker, false, ports_.clock.now());
         worker->lease_expired_at = inherited_leases_end_;
-        worker->lapsed_runs = absence.blamed;
+        std::copy_if(
+            absence.blamed.begin(),
+            absence.blamed.end(),
+            std::back_inserter(worker->lapsed_runs),
+            [](const blamed_run& each)
+            { return each.blame >= crash_blame::shared; });
         run_list_text restored;
         for (const auto& [task, number] : absence.runs)
         {
@@ -201,10 +206,11 @@
             absence.blamed = worker.lapsed_runs;
             for (const blamed_run& each : workers_.blame(worker))
             {
-                if (each.blame >= crash_blame::shared)
-                {
-                    absence.blamed.push_back(each);
-                }
+                // How long the others had gone on is not known to a successor.
+                absence.blamed.push_back(
+                    each.blame >= crash_blame::shared
+                        ? each
+                        : blamed_run{each.run, crash_blame::beside});
             }
         }
         // The next owner may load before the leases of the earlier ones end.
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -212,13 +212,13 @@
 
 } // namespace
 
-crash_blame absence_record::blame_of(const run_ref& run) const
+std::optional<crash_blame> absence_record::blame_of(const run_ref& run) const
 {
     const auto at = std::find_if(
         blamed.begin(),
         blamed.end(),
         [&](const blamed_run& each) { return each.run == run; });
-    return at == blamed.end() ? crash_blame::beside : at->blame;
+    return at == blamed.end() ? std::nullopt : std::optional(at->blame);
 }
 
 std::string encode(const accepted_job& job)
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,11 +49,11 @@
     std::string address;
     std::vector<std::pair<task_ref, run_number>> runs;
     /// Runs, listed above or ended since, that are blamed if it turns out that
-    /// the worker has crashed.
+    /// the worker has crashed: those that are known to have been there.
     std::vector<blamed_run> blamed;
 
-    /// What a crash says of a run.
-    [[nodiscard]] crash_blame blame_of(const run_ref& run) const;
+    /// What a crash says of a run; nothing if it may not have been there.
+    [[nodiscard]] std::optional<crash_blame> blame_of(const run_ref& run) const;
     [[nodiscard]] bool operator==(const absence_record&) const = default;
 };
 
--- a/tests/fleet/crash_evidence_test.cpp
+++ b/tests/fleet/crash_evidence_test.cpp
@@ -39,6 +39,20 @@
     return false;
 }
 
+/// Steps by 1 ms until one more order of a start has been sent.
+bool wait_for_order(fleet_world& world, std::size_t n)
+{
+    for (int ms = 0; ms < 60'000; ++ms)
+    {
+        if (world.events.count(event_number::run_started) >= n)
+        {
+            return true;
+        }
+        world.run(1ms);
+    }
+    return false;
+}
+
 } // namespace
 
 // Guards against a job that is given up for workers that were cut off, ran on
@@ -100,3 +114,39 @@
     CAPTURE(change_ids);
     CHECK(world.view("a").state == job_state::completed);
 }
+
+// Guards against orders that got no answer, were recorded with their absent
+// worker and are counted as crashes by the owners that follow.
+TEST_CASE(
+    "an order without an answer is no crash for the next owner", "[fleet]")
+{
+    fleet_world world(2, 1);
+    world.workers.kept_connections = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{4s, false};
+    };
+    world.run(5s);
+    world.submit("a", {tasks(1)});
+    for (std::size_t n = 1; n <= 3; ++n)
+    {
+        const std::size_t before =
+            world.events.count(event_number::run_started);
+        REQUIRE(wait_for_order(world, n == 1 ? 1 : before + 1));
+        // It crashes while the order is on its way.
+        world.workers.crash(worker_id("w0"));
+        world.run(700ms);
+        fleet_world::vm* owner = world.owner_vm();
+        REQUIRE(owner != nullptr);
+        owner->kill();
+        world.run(300ms);
+        owner->start();
+    }
+    CHECK(crashes_under(world, "a") == 0);
+    REQUIRE(wait_for_start(world, "a", 1));
+    CHECK(world.events.count(event_number::crash_counted) == 0);
+    world.run(2s);
+    world.workers.crash(world.starts_of("a").back().worker); // The only one.
+    world.run(30s);
+    CHECK(crashes_under(world, "a") == 1);
+    CHECK(world.view("a").state == job_state::completed);
+}
