Tasks whose workers' leases end before their crash is proven are tried too

Cause: an order of which nothing is known made its task a suspect only when the crash was proven, and the end of the lease had dropped the run by then.

Change: the end of the lease makes it a suspect as well.

Result: "a task that crashes its workers before they answer is given up" failed before (12 orders, recovery after 9 s, new ids) and passes; the other tests pass.

--- a/src/fleet/owner_crashes.cpp
+++ b/src/fleet/owner_crashes.cpp
@@ -143,6 +143,13 @@
     {
         return;
     }
+    for (const run_ref& each : workers_.unproven(worker))
+    {
+        if (task_entry* task = jobs_.find(each.task))
+        {
+            task->crashes.suspect();
+        }
+    }
     for (const blamed_run& each : workers_.blame(worker))
     {
         if (each.blame < crash_blame::shared)
--- a/tests/fleet/crash_evidence_test.cpp
+++ b/tests/fleet/crash_evidence_test.cpp
@@ -150,3 +150,123 @@
     CHECK(crashes_under(world, "a") == 1);
     CHECK(world.view("a").state == job_state::completed);
 }
+
+// Guards against a task that crashes its workers before they answer, and that
+// is started for ever as they come back only after their leases.
+TEST_CASE(
+    "a task that crashes its workers before they answer is given up", "[fleet]")
+{
+    const milliseconds recovery{GENERATE(1'100, 3'000, 9'000)};
+    const bool change_ids = GENERATE(false, true);
+    fleet_world world(1, 1);
+    world.crashes_change_ids = change_ids;
+    world.crash_recovery = recovery;
+    world.workers.kept_connections = true;
+    world.run(5s);
+    world.submit("a", {tasks(1)});
+    std::size_t orders = 0;
+    for (; orders < 12; ++orders)
+    {
+        const std::size_t before =
+            world.events.count(event_number::run_started);
+        if (orders == 0 ? !wait_for_order(world, 1)
+                        : !wait_for_order(world, before + 1))
+        {
+            break;
+        }
+        for (int n = 0; n < 60; ++n)
+        {
+            const std::string id = n == 0 ? "w0" : "w0~" + std::to_string(n);
+            if (world.store.newest("registry", id).empty())
+            {
+                continue;
+            }
+            world.workers.crash(worker_id(id));
+        }
+    }
+    CAPTURE(recovery.count(), change_ids, orders);
+    CHECK(world.view("a").state == job_state::failed);
+    CHECK(orders <= 5);
+}
+
+// Guards against departures that the next owner takes for crashes: the worker
+// had announced that it drains.
+TEST_CASE(
+    "the departure of a draining worker is no crash for the next owner",
+    "[fleet][known-red]")
+{
+    const bool kills_owner = GENERATE(false, true);
+    fleet_world world(2, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.run(5s);
+    world.submit("a", {tasks(1)});
+    REQUIRE(wait_for_start(world, "a", 1));
+    world.run(1s);
+    world.register_worker("w0", "draining");
+    world.run(3s);
+    world.store.put("registry", "w0", "");
+    world.run(300ms);
+    world.workers.crash(worker_id("w0")); // It leaves.
+    world.run(500ms);
+    if (kills_owner)
+    {
+        fleet_world::vm* owner = world.owner_vm();
+        REQUIRE(owner != nullptr);
+        owner->kill();
+        world.run(300ms);
+        owner->start();
+    }
+    world.run(1s);
+    world.add_worker("w0~1");
+    world.run(6s);
+    CAPTURE(kills_owner);
+    CHECK(world.events.count(event_number::worker_replaced) == 1);
+    CHECK(world.events.count(event_number::crash_counted) == 0);
+}
+
+// A lasting task that has gone on for long is not blamed for a crash, also if
+// its owner has changed shortly before.
+TEST_CASE("a lasting run is no younger for a new owner", "[fleet][known-red]")
+{
+    const bool kills_owner = GENERATE(false, true);
+    fleet_world world(2, 3);
+    fleet::step_spec lasting = tasks(1);
+    lasting.long_running = true;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{100'000s, false};
+    };
+    world.submit("a", {lasting});
+    REQUIRE(wait_for_start(world, "a", 1));
+    world.run(60s);
+    if (kills_owner)
+    {
+        fleet_world::vm* owner = world.owner_vm();
+        REQUIRE(owner != nullptr);
+        owner->kill();
+        world.run(300ms);
+        owner->start();
+        world.run(10s);
+    }
+    world.workers.crash(world.starts_of("a").back().worker);
+    world.run(10s);
+    CAPTURE(kills_owner);
+    CHECK(world.events.count(event_number::crash_counted) == 0);
+}
+
+// A job that has just ended is known for as long as promised, also if the wall
+// clock of the owner's machine jumps.
+TEST_CASE(
+    "a wall clock that jumps ends no knowledge of a job", "[fleet][known-red]")
+{
+    const milliseconds jump{GENERATE(10'000, 130'000)};
+    fleet_world world(1, 2);
+    world.submit("a", {tasks(1)});
+    REQUIRE(world.run_until("a", job_state::completed, 20s));
+    world.run(10s);
+    world.clock.step_wall(jump);
+    world.run(10s);
+    CAPTURE(jump.count());
+    CHECK(world.view("a").state == job_state::completed);
+}
