--- a/src/cell/control.hpp
+++ b/src/cell/control.hpp
@@ -74,6 +74,15 @@
     std::optional<error> unreachable; ///< If the instance did not answer.
 };
 
+/// The documents in force at one instance.
+struct documents_in_force
+{
+    revision inventory_revision = 0;
+    inventory workers;
+    revision rules_revision = 0;
+    rules teams_and_queues;
+};
+
 struct team_status
 {
     team_name name;
@@ -203,6 +212,12 @@
         presented_key key,
         completion<std::vector<configuration_in_force>> done) = 0;
 
+    /// Completes with the inventory and rules in force at this instance.
+    virtual void documents(
+        instant now,
+        presented_key key,
+        completion<documents_in_force> done) = 0;
+
     /// Completes with the share, limit and load of each team visible to the
     /// key.
     virtual void teams(
--- a/src/cell/instance.hpp
+++ b/src/cell/instance.hpp
@@ -100,6 +100,10 @@
         instant now,
         presented_key key,
         completion<std::vector<configuration_in_force>> done) override;
+    void documents(
+        instant now,
+        presented_key key,
+        completion<documents_in_force> done) override;
     void teams(
         instant now,
         presented_key key,
--- a/src/cell/instance_reports.cpp
+++ b/src/cell/instance_reports.cpp
@@ -113,6 +113,21 @@
         });
 }
 
+void instance::documents(
+    instant /*now*/, presented_key key, completion<documents_in_force> done)
+{
+    if (auto checked = check_operator(key); !checked)
+    {
+        done(tl::unexpected(checked.error()));
+        return;
+    }
+    done(documents_in_force{
+        cell().inventory_revision(),
+        cell().inventory_in_force(),
+        cell().rules_revision(),
+        cell().rules_in_force()});
+}
+
 void instance::teams(
     instant /*now*/,
     presented_key key,
--- a/src/cli/command_table.cpp
+++ b/src/cli/command_table.cpp
@@ -200,6 +200,16 @@
          "",
          "acaciastile check-settings /etc/acaciastile.json",
          commands::check_settings});
+    to.push_back(
+        {"check-config",
+         "FILE",
+         "Checks an inventory or rules before they are published, and tells "
+         "what differs from another version.",
+         std::string("--against=FILE|LIVE     compare with a file, or with "
+                     "what is in force\n") +
+             client_flags_help,
+         "acaciastile check-config rules.json --against=LIVE",
+         commands::check_config});
     to.push_back(
         {"make-inventory",
          "",
--- a/src/cli/commands/document_commands.hpp
+++ b/src/cli/commands/document_commands.hpp
@@ -5,6 +5,7 @@
 namespace acaciastile::commands
 {
 
+exit_status check_config(const command_arguments& arguments);
 exit_status check_settings(const command_arguments& arguments);
 exit_status settings_page(const command_arguments& arguments);
 exit_status make_inventory(const command_arguments& arguments);
--- a/src/cli/exit_status.hpp
+++ b/src/cli/exit_status.hpp
@@ -14,7 +14,10 @@
     unknown = 3,     ///< It may have run; ask for the status.
     ended_badly = 4, ///< The job or request ran and did not succeed.
     wrong_input = 5, ///< A settings, inventory or rules file is wrong.
-    wrong_sums = 6   ///< `dev` or `load` found counts that do not add up.
+    wrong_sums = 6,  ///< `dev` or `load` found counts that do not add up.
+    // `check-config` has statuses of its own.
+    check_warned = 1, ///< The document is valid, with warnings.
+    check_failed = 2  ///< It has errors, or could not be compared.
 };
 
 /// The status for a call that failed with this verdict.
--- a/src/entry/operator_api.cpp
+++ b/src/entry/operator_api.cpp
@@ -124,6 +124,52 @@
         "instances", context.thread->call<list>(work, context.bounds.call));
 }
 
+/// Answers with what `write` makes of the documents in force.
+api_reply read_documents(
+    const api_context& context,
+    const api_request& call,
+    nlohmann::json (*write)(const documents_in_force&))
+{
+    auto work = [&cell = *context.cell, key = call.key](
+                    instant now, completion<documents_in_force> done)
+    { cell.documents(now, key, std::move(done)); };
+    const auto found =
+        context.thread->call<documents_in_force>(work, context.bounds.call);
+    if (!found)
+    {
+        return make_error_reply(found.error());
+    }
+    api_reply reply;
+    reply.body = write_json(write(*found));
+    return reply;
+}
+
+api_reply get_inventory(const api_context& context, const api_request& call)
+{
+    return read_documents(
+        context,
+        call,
+        [](const documents_in_force& found) -> nlohmann::json
+        {
+            return {
+                {"revision", found.inventory_revision},
+                {"inventory", to_json(found.workers)}};
+        });
+}
+
+api_reply get_rules(const api_context& context, const api_request& call)
+{
+    return read_documents(
+        context,
+        call,
+        [](const documents_in_force& found) -> nlohmann::json
+        {
+            return {
+                {"revision", found.rules_revision},
+                {"rules", to_json(found.teams_and_queues)}};
+        });
+}
+
 api_reply teams(const api_context& context, const api_request& call)
 {
     using list = std::vector<team_status>;
@@ -169,6 +215,8 @@
         { return handler(context, call); };
     };
     return {
+        {"GET", "/v1/inventory", "get_inventory", bind(get_inventory)},
+        {"GET", "/v1/rules", "get_rules", bind(get_rules)},
         {"PUT", "/v1/inventory", "put_inventory", bind(put_inventory)},
         {"PUT", "/v1/rules", "put_rules", bind(put_rules)},
         {"POST", "/v1/keys", "grant_key", bind(grant_key)},
--- a/tests/entry/calls_test.cpp
+++ b/tests/entry/calls_test.cpp
@@ -1,3 +1,4 @@
+#include "codec/document_codec.hpp"
 #include "support/entry_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -87,6 +88,31 @@
     CHECK(drained.status == 200);
 }
 
+TEST_CASE("operators read the documents in force", "[entry]")
+{
+    entry_fixture made;
+    documents_in_force live;
+    live.inventory_revision = 4;
+    live.workers = inventory::create({{worker_id("w1"),
+                                       data_centre_name("dc1"),
+                                       rack_name("r1"),
+                                       "10.0.0.1:7000",
+                                       {1'000, 1'024, 0}}})
+                       .value();
+    live.rules_revision = 7;
+    live.teams_and_queues =
+        rules::create({{team_name("t"), 2, {1'000, 1'024, 0}}}, {}).value();
+    REQUIRE_CALL(made.cell, documents(_, _, _))
+        .TIMES(2)
+        .LR_SIDE_EFFECT(_3(live));
+    const auto listed = made.client->send("GET", "/v1/inventory", "", key);
+    CHECK(listed.json().at("revision") == 4);
+    CHECK(listed.json().at("inventory") == to_json(live.workers));
+    const auto ruled = made.client->send("GET", "/v1/rules", "", key);
+    CHECK(ruled.json().at("revision") == 7);
+    CHECK(ruled.json().at("rules") == to_json(live.teams_and_queues));
+}
+
 TEST_CASE("readiness goes off with the shutdown", "[entry]")
 {
     entry_fixture made;
--- a/tests/fuzz/documents_fuzz.cpp
+++ b/tests/fuzz/documents_fuzz.cpp
@@ -1,3 +1,4 @@
+#include "cli/config/config_report.hpp"
 #include "codec/document_codec.hpp"
 
 #include <cstddef>
@@ -29,6 +30,21 @@
     }
 }
 
+/// The check refuses what the codec refuses, and always says something.
+void check_report(const std::string& text)
+{
+    using namespace acaciastile;
+    config_report report;
+    report.check = config_check::of_text(text);
+    const bool valid = report.check.is_inventory()
+                           ? parse_inventory(text).has_value()
+                           : parse_rules(text).has_value();
+    if (valid == report.check.has_errors() || to_text(report).empty())
+    {
+        std::abort();
+    }
+}
+
 } // namespace
 
 /// Inventories, rules, jobs and keys as documents.
@@ -41,5 +57,6 @@
     check_round_trip<rules>(text, parse_rules);
     check_round_trip<job_spec>(text, parse_job_spec);
     check_round_trip<key_entry>(text, parse_key_entry);
+    check_report(text);
     return 0;
 }
--- a/tests/golden/sessions_log_test.cpp
+++ b/tests/golden/sessions_log_test.cpp
@@ -118,6 +118,33 @@
     CHECK(has_line(played, "rules via b: revision_conflict"));
 }
 
+TEST_CASE("an instance tells an operator what is in force", "[golden]")
+{
+    story cell("documents_in_force");
+    start_some(cell);
+    cell.publish_rules(
+        "a",
+        {{"planning", {4'000, 8'192, 0}},
+         {"orders", {5'000, 8'192, 0}},
+         {"unlocks", {6'000, 8'192, 0}}});
+    cell.run(seconds{5});
+    for (const char* via : {"a", "b"})
+    {
+        const auto told = cell.documents(via);
+        REQUIRE(told.has_value());
+        const cell_state& state = cell.at(via).cell();
+        CHECK(told->rules_revision == state.rules_revision());
+        CHECK(told->inventory_revision == state.inventory_revision());
+        CHECK(told->teams_and_queues.teams().size() == 3);
+        CHECK(told->teams_and_queues == state.rules_in_force());
+        CHECK(told->workers == state.inventory_in_force());
+        CHECK(told->workers.workers().size() == cell.workers().size());
+    }
+    const auto refused = cell.documents("a", "planning");
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().code == refusal_code::forbidden);
+}
+
 TEST_CASE("golden: a snapshot at the edge of retention", "[golden]")
 {
     story_size size;
--- a/tests/golden/story.cpp
+++ b/tests/golden/story.cpp
@@ -476,6 +476,19 @@
     tell("set up");
 }
 
+result<documents_in_force>
+story::documents(const std::string& via, const std::string& team)
+{
+    return wait_for<documents_in_force>(
+        [&](completion<documents_in_force> done)
+        {
+            at(via).documents(
+                now(),
+                key_of(team.empty() ? operator_team : team),
+                std::move(done));
+        });
+}
+
 void story::publish_rules(
     const std::string& via,
     std::map<std::string, resources> upper_limits,
--- a/tests/golden/story.hpp
+++ b/tests/golden/story.hpp
@@ -77,6 +77,10 @@
         const std::string& via,
         std::map<std::string, resources> upper_limits,
         std::optional<revision> base = {});
+    /// What the named instance has in force, asked with the key of a team;
+    /// without a team, with the operator's.
+    [[nodiscard]] result<documents_in_force>
+    documents(const std::string& via, const std::string& team = "");
     void withdraw_key(const std::string& via, const std::string& team);
     void drain(const std::string& via, const std::string& worker);
     void declare_dead(
--- a/tests/support/control_mock.hpp
+++ b/tests/support/control_mock.hpp
@@ -82,6 +82,10 @@
             presented_key,
             completion<std::vector<configuration_in_force>>),
         override);
+    MAKE_MOCK3(
+        documents,
+        void(instant, presented_key, completion<documents_in_force>),
+        override);
     MAKE_MOCK3(
         teams,
         void(instant, presented_key, completion<std::vector<team_status>>),
