--- a/src/fleet/crash_record.hpp
+++ b/src/fleet/crash_record.hpp
@@ -19,6 +19,10 @@
     sole    ///< No other run can have done it as soon after its start.
 };
 
+/// A crash under a run that has gone on for longer is not counted: sooner or
+/// later every worker crashes under a lasting task.
+inline constexpr milliseconds longest_counted_run{30'000};
+
 /// Name of a blame, for logs and metrics.
 [[nodiscard]] std::string_view name_of(crash_blame blame) noexcept;
 
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -6,6 +6,7 @@
 #include "fleet/advice_dispatcher.hpp"
 #include "fleet/evacuations.hpp"
 #include "fleet/job_tracker.hpp"
+#include "fleet/noted_run_table.hpp"
 #include "fleet/planner.hpp"
 #include "fleet/poll_schedule.hpp"
 #include "fleet/ports.hpp"
@@ -34,8 +35,8 @@
     "keyed.jobs", "keyed.jobs-1", "keyed.jobs-2", "keyed.jobs-3"};
 /// The topic in which jobs are stored first.
 inline constexpr const char* jobs = job_topics.front();
-/// Progress of jobs, keyed by job id, records of absent workers, and the record
-/// `removals_noted`.
+/// Progress of jobs, keyed by job id, records of absent workers and of noted
+/// runs, and the record `removals_noted`.
 inline constexpr const char* progress = "keyed.progress";
 /// Key of the record in `progress` that holds an offset of the registry. Of
 /// each worker that was removed before it, every run that may be left is in a
@@ -484,6 +485,20 @@
     /// Ends the runs of earlier workers at the address of one that has answered
     /// there: their processes have ended.
     void end_predecessors(worker_entry& worker);
+    /// Stores that a run is on its worker if workers have crashed under its
+    /// task before, in case that this owner ends together with the worker.
+    void note_run(const worker_entry& worker, run_entry& run);
+    /// Removes the note of a run that has gone on for longer than a crash is
+    /// counted.
+    void drop_old_note(run_entry& run);
+    void restore_noted_run(const store_record& record);
+    /// Counts the crashes under the runs that an earlier owner has noted and of
+    /// which the worker that has answered shows that their worker crashed.
+    void
+    resolve_noted_runs(const worker_entry& worker, const worker_status& status);
+    /// Removes notes of earlier owners whose workers have not answered for
+    /// long.
+    void prune_noted_runs();
     /// Keeps what a crash says of a worker's runs before its lease ends them.
     void keep_blame(worker_entry& worker);
     /// Runs, recorded or not, whose start order the worker or a later
@@ -600,6 +615,7 @@
     /// removed workers, and the one that is stored as `removals_noted`.
     log_offset removals_recorded_ = 0;
     log_offset removals_noted_ = 0;
+    noted_run_table noted_runs_;
     presumed_end_table presumed_ends_;
     unsettled_order_table unsettled_orders_;
     /// Workers that report runs of a job whose record is not read yet.
--- a/src/fleet/owner_adoptions.cpp
+++ b/src/fleet/owner_adoptions.cpp
@@ -47,6 +47,7 @@
         if (run.listed_in == 0)
         {
             jobs_.confirm_start(running.task.step.job);
+            note_run(worker, run);
         }
         run.listed_in = worker.status_count;
         run.percent = running.percent;
@@ -56,6 +57,7 @@
             run.alive_at = worker.clock;
             run.alive_noted = ports_.clock.now();
         }
+        drop_old_note(run);
         workers_.end_trial(worker, run);
         if (!running.checkpoint.empty())
         {
@@ -93,6 +95,7 @@
     workers_.add_run(worker, std::move(run));
     if (outcome == adoption::adopted)
     {
+        note_run(worker, worker.runs.at({running.task, running.run}));
         stop_other_runs(
             running.task, running.run, "a later run of the task is live");
         return true;
--- a/src/fleet/owner_crashes.cpp
+++ b/src/fleet/owner_crashes.cpp
@@ -6,15 +6,6 @@
 namespace acaciastile::fleet
 {
 
-namespace
-{
-
-/// A crash under a run that has gone on for longer is not counted: sooner or
-/// later every worker crashes under a lasting task.
-constexpr milliseconds longest_counted_run{30'000};
-
-} // namespace
-
 void fleet_owner::count_crash(
     const worker_entry& worker,
     const std::set<run_ref>& kept,
--- a/src/fleet/owner_ends.cpp
+++ b/src/fleet/owner_ends.cpp
@@ -56,6 +56,7 @@
         }
     }
     workers_.remove_run(worker, task, run);
+    noted_runs_.remove({task, run});
     const end_effect effect = jobs_.record_end(
         task,
         run,
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -384,6 +384,11 @@
         restore_absence(*absent, record);
         return;
     }
+    if (noted_run_table::is_key(record.key))
+    {
+        restore_noted_run(record);
+        return;
+    }
     if (record.key == topics::removals_noted ||
         record.key == topics::worker_speeds)
     {
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -40,7 +40,8 @@
     const instant now = ports_.clock.now();
     if (flushing_ || now < next_flush_)
     {
-        if (!flushing_ && (jobs_.has_changes() || absences_.has_changes()))
+        if (!flushing_ && (jobs_.has_changes() || absences_.has_changes() ||
+                           noted_runs_.has_changes()))
         {
             ports_.clock.after(
                 next_flush_ - now,
@@ -66,6 +67,10 @@
     {
         batch->records.push_back(std::move(record));
     }
+    for (store_record& record : noted_runs_.take_changes())
+    {
+        batch->records.push_back(std::move(record));
+    }
     batch->waiters.swap(after_flush_);
     batch->removals_noted = removals_recorded_;
     const log_offset unnoted =
@@ -314,6 +319,7 @@
         dropped.push_back({0, id.str(), {}});
     }
     prune_absence_records();
+    prune_noted_runs();
     if (!dropped.empty())
     {
         // A failure is ignored: the next owner deletes the remaining records.
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -182,6 +182,7 @@
             run.state = run_entry::phase::running;
         }
         run.confirmed = now;
+        note_run(*worker, run);
         ports_.metrics.sample(
             "fleet_start_ms", "", static_cast<double>((now - sent_at).count()));
         poll_if_due(*worker);
@@ -191,6 +192,10 @@
     run.sent_to_live_worker = run.sent_to_live_worker ||
                               (run.trial != run_entry::trial_length::none &&
                                answer.error().effect == verdict::may_have_run);
+    if (run.sent_to_live_worker)
+    {
+        note_run(*worker, run);
+    }
     ports_.events.emit(
         {event_number::start_unanswered,
          {{"task", text_of(decision.task)},
@@ -264,6 +269,7 @@
     {
         workers_.remove_run(*worker, decision.task, decision.run);
     }
+    noted_runs_.remove({decision.task, decision.run});
     presumed_ends_.add(
         {decision.task, decision.run},
         presumed_end::withdrawn,
--- a/src/fleet/owner_status.cpp
+++ b/src/fleet/owner_status.cpp
@@ -94,6 +94,7 @@
           {"running", std::to_string(status.running.size())},
           {"ended", std::to_string(status.ended.size())}}});
     end_predecessors(worker);
+    resolve_noted_runs(worker, status);
 }
 
 void fleet_owner::reconcile_missing_runs(
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -359,6 +359,33 @@
         });
 }
 
+std::string encode(const noted_run& noted)
+{
+    const run_ref& run = noted.blamed.run;
+    return to_msgpack_text(json::array(
+        {noted.worker.id.str(),
+         noted.worker.address,
+         noted.worker.incarnation,
+         to_json(run.task, run.run),
+         static_cast<int>(noted.blamed.blame)}));
+}
+
+result<noted_run> decode_noted_run(std::string_view text)
+{
+    return decode_msgpack<noted_run>(
+        text,
+        [](const json& value)
+        {
+            noted_run noted;
+            noted.worker.id = worker_id(value.at(0).get<std::string>());
+            noted.worker.address = value.at(1).get<std::string>();
+            noted.worker.incarnation = value.at(2).get<std::uint64_t>();
+            noted.blamed.run = run_from(value.at(3));
+            noted.blamed.blame = blame_from(value.at(4));
+            return noted;
+        });
+}
+
 std::string encode(const ownership_record& record)
 {
     return to_msgpack_text(json::array(
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -3,6 +3,7 @@
 #include "domain/result.hpp"
 #include "fleet/configuration.hpp"
 #include "fleet/crash_record.hpp"
+#include "fleet/ports.hpp"
 
 #include <cstdint>
 #include <map>
@@ -56,6 +57,14 @@
     [[nodiscard]] bool operator==(const absence_record&) const = default;
 };
 
+/// A run that is known to be on a worker, of a task under which workers have
+/// crashed before, and what a crash of that worker would say of it.
+struct noted_run
+{
+    worker_address worker;
+    blamed_run blamed;
+};
+
 /// A record of the ownership topic, which decides who owns the fleet.
 struct ownership_record
 {
@@ -88,6 +97,9 @@
 [[nodiscard]] result<absence_record>
 decode_absence_record(std::string_view text);
 
+[[nodiscard]] std::string encode(const noted_run& noted);
+[[nodiscard]] result<noted_run> decode_noted_run(std::string_view text);
+
 [[nodiscard]] std::string encode(const ownership_record& record);
 [[nodiscard]] result<ownership_record>
 decode_ownership_record(std::string_view text);
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -62,6 +62,7 @@
     /// (`start_order::after_answer`).
     bool sent_to_live_worker = false;
     instant alive_noted{}; ///< When that was known, on this VM's clock.
+    bool noted = false;    ///< Is in the `noted_run_table`.
     /// What an earlier owner has recorded for the case of a crash.
     std::optional<crash_blame> recorded_blame;
 };
--- a/src/observe/metric_kind.hpp
+++ b/src/observe/metric_kind.hpp
@@ -113,6 +113,10 @@
      "proof",
      "Orders to workers that crashed, of which it is not known whether they "
      "arrived before, by what shows the crash."},
+    {"fleet_runs_noted",
+     metric_type::counter,
+     "",
+     "Runs that may crash their workers and are recorded in the store."},
     {"fleet_jobs_given_up",
      metric_type::counter,
      "",
--- a/tests/fleet/crashing_tasks_test.cpp
+++ b/tests/fleet/crashing_tasks_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/event_text.hpp"
 #include "support/fleet_world.hpp"
 
 #include <algorithm>
@@ -94,6 +95,78 @@
     CHECK(world.view(deadly.str()).state == job_state::failed);
 }
 
+// Guards against a task that crashes worker after worker and whose crashes are
+// not counted, as each owner that orders a start of it ends before its worker
+// does.
+TEST_CASE(
+    "crashes under a suspect are counted though its owner ends first",
+    "[fleet]")
+{
+    const bool change_ids = GENERATE(false, true);
+    const milliseconds crashes_after{GENERATE(60, 90, 150, 200)};
+    fleet_world world(3, 6);
+    world.crashes_change_ids = change_ids;
+    make_deadly(world, crashes_after);
+    const auto killed_after = crashes_after - 10ms;
+    world.workers.crashes_after =
+        [&, deadly_after = world.workers.crashes_after](
+            const fleet::task_ref& task)
+    {
+        const auto delay = deadly_after(task);
+        fleet_world::vm* owner = world.owner_vm();
+        if (delay && owner != nullptr && world.crashes() > 0)
+        {
+            world.clock.after(killed_after, [owner] { owner->kill(); });
+            world.clock.after(300ms, [owner] { owner->start(); });
+        }
+        return delay;
+    };
+    world.submit(deadly.str(), {tasks(1)});
+    world.run(90s);
+    CAPTURE(change_ids, crashes_after.count());
+    CHECK(deadly_starts(world) <= most_deadly_starts);
+    CHECK(world.view(deadly.str()).state == job_state::failed);
+    CHECK(world.broken_promises().empty());
+}
+
+// Guards against crashes that are counted against a suspect whose owner ended
+// while its worker went on, and against notes that outlast their runs.
+TEST_CASE(
+    "a suspect whose owners end but whose workers do not is done", "[fleet]")
+{
+    const bool change_ids = GENERATE(false, true);
+    constexpr std::size_t most_crashes = 2;
+    fleet_world world(3, 6);
+    world.crashes_change_ids = change_ids;
+    make_deadly(world, 150ms, 2s);
+    world.workers.crashes_after = [&](const fleet::task_ref& task)
+    {
+        const bool crashes =
+            task.step.job == deadly && world.crashes() < most_crashes;
+        if (fleet_world::vm* owner = world.owner_vm();
+            !crashes && owner != nullptr)
+        {
+            world.clock.after(60ms, [owner] { owner->kill(); });
+            world.clock.after(400ms, [owner] { owner->start(); });
+        }
+        return crashes ? std::optional<milliseconds>(150ms) : std::nullopt;
+    };
+    world.submit(deadly.str(), {tasks(1)});
+    CHECK(world.run_until(deadly.str(), job_state::completed, 90s));
+    world.run(1s);
+    const fleet::task_ref task{{deadly, 0, 0}, 0};
+    for (const standin::worker_event& each : world.starts_of(deadly.str()))
+    {
+        CHECK(world.store
+                  .newest(
+                      fleet::topics::progress,
+                      "noted-run/" + fleet::text_of(task) + "/" +
+                          std::to_string(each.run))
+                  .empty());
+    }
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against a gang whose member crashes worker after worker.
 TEST_CASE(
     "a gang with a member that crashes its workers is given up", "[fleet]")
