--- a/src/fleet/owner_noted_runs.cpp
+++ b/src/fleet/owner_noted_runs.cpp
@@ -25,6 +25,8 @@
                                   : crash_blame::late;
     noted_runs_.note({worker.address(), {{run.task, run.run}, blame}});
     ports_.metrics.count("fleet_runs_noted", "", 1);
+    // Until it is stored, a crash may go uncounted.
+    next_flush_ = ports_.clock.now();
     schedule_round();
 }
 
