--- a/bench/fleet_rounds.cpp
+++ b/bench/fleet_rounds.cpp
@@ -182,7 +182,7 @@
                 granted.allowed.push_back({worker, "5c0e7a21d94b36f8"});
             }
         }
-        planner_.note_answer(
+        planner_.permits().note_answer(
             jobs_,
             workers_,
             request.step,
--- a/src/domain/event_number.hpp
+++ b/src/domain/event_number.hpp
@@ -90,6 +90,7 @@
     worker_replaced = 6038,
     advice_taken = 6040,
     advice_missing = 6041,
+    permit_unused = 6042,
     lines_dropped = 6050,
     // HTTP entry.
     listening = 4000,
@@ -194,6 +195,7 @@
     {event_number::worker_replaced, event_level::warn, "worker_replaced"},
     {event_number::advice_taken, event_level::info, "advice_taken"},
     {event_number::advice_missing, event_level::warn, "advice_missing"},
+    {event_number::permit_unused, event_level::info, "permit_unused"},
     {event_number::lines_dropped, event_level::warn, "lines_dropped"},
     {event_number::listening, event_level::info, "listening"},
     {event_number::certificates_reloaded,
--- a/src/fleet/advice_dispatcher.cpp
+++ b/src/fleet/advice_dispatcher.cpp
@@ -11,7 +11,10 @@
         waiting_.begin(),
         waiting_.end(),
         [&](const permit_request& each)
-        { return each.priority > question.priority; });
+        {
+            return std::pair(each.priority, each.turn) >
+                   std::pair(question.priority, question.turn);
+        });
     waiting_.insert(at, std::move(question));
 }
 
--- a/src/fleet/advice_dispatcher.hpp
+++ b/src/fleet/advice_dispatcher.hpp
@@ -34,8 +34,8 @@
 /// Distributes questions for the policy service among the VMs that ask for
 /// them. A question asks which of the named workers may run a step. The service
 /// answers one question at a time for each VM, so a VM gets one at a time.
-/// Questions go out by priority; the number of long ones in progress is
-/// limited, so that short ones do not wait for them.
+/// Questions go out by priority, then by turn; the number of long ones in
+/// progress is limited, so that short ones do not wait for them.
 class advice_dispatcher
 {
 public:
@@ -114,7 +114,7 @@
 
     advice_dispatcher_settings settings_;
     std::uint64_t last_number_;         ///< Of the latest delivery.
-    std::list<permit_request> waiting_; ///< By priority, then by arrival.
+    std::list<permit_request> waiting_; ///< By priority, turn and arrival.
     std::map<instance_id, idle_vm> idle_vms_;
     std::map<instance_id, assignment> assignments_;
     std::map<instance_id, instant> last_seen_;
--- a/src/fleet/job_tracker.cpp
+++ b/src/fleet/job_tracker.cpp
@@ -13,42 +13,6 @@
 
 } // namespace
 
-const step_permits::grant* step_permits::find(worker_handle worker) const
-{
-    const auto at = std::lower_bound(
-        allowed.begin(),
-        allowed.end(),
-        worker,
-        [](const grant& each, worker_handle handle)
-        { return each.worker < handle; });
-    return at == allowed.end() || at->worker != worker ? nullptr : &*at;
-}
-
-bool step_permits::allow(grant granted)
-{
-    const auto at = std::lower_bound(
-        allowed.begin(),
-        allowed.end(),
-        granted.worker,
-        [](const grant& each, worker_handle handle)
-        { return each.worker < handle; });
-    if (at != allowed.end() && at->worker == granted.worker)
-    {
-        *at = std::move(granted);
-        return false;
-    }
-    allowed.insert(at, std::move(granted));
-    return true;
-}
-
-void step_permits::expire(worker_handle worker)
-{
-    if (find(worker) != nullptr)
-    {
-        allow({worker, {}, {}, 0});
-    }
-}
-
 job_entry* job_tracker::add(accepted_job job, bool inherited, instant now)
 {
     auto& entry = jobs_[job.id];
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -4,6 +4,7 @@
 #include "fleet/name_table.hpp"
 #include "fleet/ports.hpp"
 #include "fleet/records.hpp"
+#include "fleet/step_permits.hpp"
 #include "fleet/worker_set.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -44,31 +45,6 @@
     crash_record crashes;     ///< Of the workers of its runs.
 };
 
-/// What the policy service of the queue has decided about one step.
-struct step_permits
-{
-    /// A permit for one worker. Expired grants are kept: the policy is expected
-    /// to allow the worker again.
-    struct grant
-    {
-        worker_handle worker = 0;
-        std::string ticket;
-        instant until{};               ///< Expiry.
-        std::uint64_t incarnation = 0; ///< Of the worker when it was allowed.
-    };
-    std::vector<grant> allowed; ///< Ordered by worker.
-    worker_set denied;
-    bool request_in_flight = false;
-    instant retry_not_before{}; ///< Set when a request has failed.
-
-    [[nodiscard]] const grant* find(worker_handle worker) const;
-    /// Adds or replaces the grant of its worker. Returns true if the worker was
-    /// not allowed before.
-    bool allow(grant granted);
-    /// Makes the worker's grant count as expired.
-    void expire(worker_handle worker);
-};
-
 /// Until when a job is expected to be useful if its remaining work starts now.
 struct urgency_limits
 {
@@ -114,7 +90,9 @@
     bool has_unreconciled_runs = false;
     bool excess = false;  ///< Accepted while its account was over its rate.
     bool changed = false; ///< Has progress that is not stored yet.
-    wall_time ended{};    ///< Set once the state is final.
+    /// A permit of it that led to no start was logged.
+    bool permit_wait_logged = false;
+    wall_time ended{}; ///< Set once the state is final.
     run_number next_run = 1;
     std::uint32_t queue_index = 0;   ///< In `job_tracker::queue_names`.
     std::uint32_t account_index = 0; ///< In `job_tracker::account_names`.
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -23,6 +23,22 @@
         {}};
 }
 
+/// Most workers named in a log line.
+constexpr std::size_t max_workers_logged = 8;
+
+/// The first workers that the policy service allowed.
+std::string first_workers(const permits& answer)
+{
+    const std::size_t count =
+        std::min(answer.allowed.size(), max_workers_logged);
+    return absl::StrJoin(
+        answer.allowed.begin(),
+        answer.allowed.begin() + static_cast<std::ptrdiff_t>(count),
+        ",",
+        [](std::string* out, const permits::permit& each)
+        { absl::StrAppend(out, each.worker.str()); });
+}
+
 } // namespace
 
 std::shared_ptr<fleet_owner> fleet_owner::create(
@@ -109,6 +125,7 @@
     {
         execute(decision);
     }
+    report_permits(decided);
     hand_out_questions();
     const bool is_idle_round = next_idle_round_ <= now;
     if (is_idle_round)
@@ -136,6 +153,35 @@
     }
 }
 
+void fleet_owner::report_permits(const plan& decided)
+{
+    if (decided.permits_used > 0)
+    {
+        ports_.metrics.count(
+            "fleet_permits_used",
+            "",
+            static_cast<double>(decided.permits_used));
+    }
+    for (std::size_t at = 0; at < decided.permit_waits.size(); ++at)
+    {
+        if (decided.permit_waits[at] > 0)
+        {
+            ports_.metrics.count(
+                "fleet_permit_waits",
+                permit_wait_names[at],
+                static_cast<double>(decided.permit_waits[at]));
+        }
+    }
+    for (const first_permit_wait& each : decided.first_permit_waits)
+    {
+        ports_.events.emit(
+            {event_number::permit_unused,
+             {{"job", each.step.job.str()},
+              {"step", std::to_string(each.step.step)},
+              {"reason", std::string(name_of(each.reason))}}});
+    }
+}
+
 void fleet_owner::confirm(instant sent)
 {
     confirmed_by_store_ =
@@ -295,7 +341,7 @@
     const instant now = ports_.clock.now();
     for (const permit_request& overdue : dispatcher_.dispatch(now))
     {
-        planner_.note_no_answer(jobs_, overdue.step, now);
+        permit_requests::note_no_answer(jobs_, overdue.step, now);
         ports_.events.emit(
             {event_number::advice_missing,
              {{"job", overdue.step.job.str()},
@@ -420,7 +466,7 @@
     const instant now = ports_.clock.now();
     if (!answer)
     {
-        planner_.note_no_answer(
+        permit_requests::note_no_answer(
             jobs_, step, now + settings_.advice_retry_delay);
         ports_.events.emit(
             {event_number::advice_missing,
@@ -430,19 +476,24 @@
         schedule_round();
         return;
     }
-    planner_.note_answer(
+    planner_.permits().note_answer(
         jobs_,
         workers_,
         step,
         answered->workers,
         *answer,
         now - age - settings_.permit_transit_time + answer->valid);
+    if (!answer->allowed.empty())
+    {
+        ports_.metrics.count("fleet_permits_granted", "", 1);
+    }
     ports_.events.emit(
         {event_number::advice_taken,
          {{"job", step.job.str()},
           {"step", std::to_string(step.step)},
           {"asked", std::to_string(answered->workers.size())},
           {"allowed", std::to_string(answer->allowed.size())},
+          {"workers", first_workers(*answer)},
           {"age_ms", text_of(age)},
           {"vm", vm.str()}}});
     schedule_round();
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -1,6 +1,5 @@
 #include "fleet/planner.hpp"
 
-#include <absl/hash/hash.h>
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -42,38 +41,6 @@
 constexpr double remote_data_penalty = 2.0;
 /// Added to the score of the worker on which the task failed last.
 constexpr double repeated_failure_penalty = 4.0;
-/// Upper bound on queue priorities; keeps urgency classes apart when both are
-/// combined into a request's priority.
-constexpr std::uint32_t priority_levels = 1'000;
-
-/// How often `each` fits into the available amount; no limit if `each` is zero.
-std::int64_t
-times_that_fit(std::int64_t available, std::int64_t each, std::int64_t limit)
-{
-    return each <= 0        ? limit
-           : available <= 0 ? 0
-                            : std::min(limit, available / each);
-}
-
-/// Number of a gang's members that fit into the resources of one worker,
-/// limited by the step's maximum per worker.
-std::int64_t members_that_fit(
-    const resources& available, const step_spec& spec, const resources& each)
-{
-    std::int64_t members =
-        spec.max_per_worker > 0 ? spec.max_per_worker : spec.count;
-    members = times_that_fit(
-        available.milli_processors, each.milli_processors, members);
-    members = times_that_fit(available.memory_mib, each.memory_mib, members);
-    return times_that_fit(available.accelerators, each.accelerators, members);
-}
-
-/// Spreads the searches of different steps over similar workers.
-std::size_t rotation_of(const step_id& step)
-{
-    return absl::HashOf(step.job.str(), step.step);
-}
-
 } // namespace
 
 resources resources_needed(const step_spec& step)
@@ -87,37 +54,6 @@
     return needs;
 }
 
-/// A step with waiting tasks.
-struct planner::candidate
-{
-    job_entry* job = nullptr;
-    step_entry* step = nullptr;
-    const step_spec* spec = nullptr;
-    const queue_settings* queue = nullptr;
-    const account_settings* account = nullptr; ///< Null if not configured.
-    resources needs;
-    /// Active tasks of this step on each worker; only set if the step limits
-    /// the number of its tasks per worker.
-    std::map<worker_handle, std::uint32_t> on_worker;
-    bool at_cap = false; ///< The account's resource cap is reached.
-    urgency_class urgency = urgency_class::in_time;
-    bool tight = false; ///< See `is_tight`.
-
-    /// Planning order: by urgency class, then by the queue's priority.
-    [[nodiscard]] std::pair<urgency_class, std::uint32_t> rank() const
-    {
-        return {urgency, queue->priority};
-    }
-    [[nodiscard]] bool requires_permits() const
-    {
-        return queue->advice.has_value();
-    }
-    [[nodiscard]] bool has_cap() const
-    {
-        return account != nullptr && !account->cap.is_zero();
-    }
-};
-
 /// State of one call of `decide`.
 struct planner::planning_pass
 {
@@ -134,15 +70,16 @@
     std::vector<resources> unknown_use;
     /// Of the workers that this owner has not heard from, if it is known.
     std::optional<resources> unheard_capacity;
+    permit_demand demand;
 
     /// True if the account stays within its cap with `added`, whatever is
     /// running unknown to this owner.
     [[nodiscard]] bool
-    within_cap(const candidate& step, const resources& added) const;
+    within_cap(const waiting_step& step, const resources& added) const;
 };
 
 bool planner::planning_pass::within_cap(
-    const candidate& step, const resources& added) const
+    const waiting_step& step, const resources& added) const
 {
     return !step.has_cap() ||
            acaciastile::fleet::within_cap(
@@ -161,10 +98,19 @@
     const std::optional<resources>& unheard_capacity)
 {
     planning_pass pass{
-        jobs, workers, config, now, budget, ++pass_count_, {}, 0, {}};
-    pass.unheard_capacity = unheard_capacity;
+        jobs,
+        workers,
+        config,
+        now,
+        budget,
+        ++pass_count_,
+        {},
+        0,
+        {},
+        unheard_capacity,
+        permit_demand(jobs.account_names().size())};
     reservations_.resize(workers.handle_count());
-    std::vector<candidate> waiting =
+    std::vector<waiting_step> waiting =
         collect_candidates(pass, inherited_may_start);
     std::erase_if(
         reserved_workers_,
@@ -176,7 +122,7 @@
         });
     if (!reserved_workers_.empty())
     {
-        for (const candidate& step : waiting)
+        for (const waiting_step& step : waiting)
         {
             const auto reserved = reserved_workers_.find(step.step->id);
             if (reserved != reserved_workers_.end() &&
@@ -193,7 +139,7 @@
             }
         }
     }
-    for (candidate& step : waiting)
+    for (waiting_step& step : waiting)
     {
         if (pass.examined > settings_.max_examined)
         {
@@ -202,7 +148,10 @@
         }
         ++pass.examined;
         place_step(pass, step);
+        note_wait(pass, step);
+        add_demand(pass, step);
     }
+    request_permits(pass, waiting);
     pass.decided.examined = pass.examined;
     return std::move(pass.decided);
 }
@@ -224,7 +173,7 @@
     return use;
 }
 
-std::vector<planner::candidate>
+std::vector<waiting_step>
 planner::collect_candidates(planning_pass& pass, bool inherited_may_start)
 {
     std::vector<const queue_settings*> queues;
@@ -241,7 +190,7 @@
     // Use by tasks that may be running on workers not heard from. Those of jobs
     // with unreconciled runs may be on other workers too.
     std::vector<resources> unheard_use(accounts.size());
-    std::vector<candidate> found;
+    std::vector<waiting_step> found;
     for (job_entry* job : pass.jobs.open())
     {
         if (job->has_unreconciled_runs)
@@ -274,7 +223,7 @@
                     step.limits_valid_until =
                         pass.now + settings_.urgency_refresh;
                 }
-                candidate& added = found.emplace_back();
+                waiting_step& added = found.emplace_back();
                 added.job = job;
                 added.step = &step;
                 added.spec = &job->spec(step.id);
@@ -304,8 +253,8 @@
         order.end(),
         [&](std::uint32_t first, std::uint32_t second)
         {
-            const candidate& left = found[first];
-            const candidate& right = found[second];
+            const waiting_step& left = found[first];
+            const waiting_step& right = found[second];
             if (left.rank() != right.rank())
             {
                 return left.rank() < right.rank();
@@ -320,7 +269,7 @@
             }
             return left.step->id < right.step->id;
         });
-    std::vector<candidate> ordered;
+    std::vector<waiting_step> ordered;
     ordered.reserve(found.size());
     for (const std::uint32_t at : order)
     {
@@ -329,7 +278,7 @@
     return ordered;
 }
 
-void planner::place_step(planning_pass& pass, candidate& step)
+void planner::place_step(planning_pass& pass, waiting_step& step)
 {
     if (step.spec->max_per_worker > 0)
     {
@@ -353,14 +302,101 @@
         return;
     }
     place_tasks(pass, step);
-    if (step.step->waiting > 0 && step.requires_permits() && !step.at_cap)
+}
+
+void planner::note_wait(planning_pass& pass, const waiting_step& step)
+{
+    if (step.step->waiting == 0 || !step.requires_permits() ||
+        !step.permit_wait_reason)
+    {
+        return;
+    }
+    const permit_wait reason = *step.permit_wait_reason;
+    ++pass.decided.permit_waits[static_cast<std::size_t>(reason)];
+    if (!step.job->permit_wait_logged &&
+        pass.decided.first_permit_waits.size() < max_permit_waits_logged)
+    {
+        step.job->permit_wait_logged = true;
+        pass.decided.first_permit_waits.push_back({step.step->id, reason});
+    }
+}
+
+void planner::add_demand(planning_pass& pass, waiting_step& step)
+{
+    const step_permits& permits = step.step->permits;
+    const std::uint32_t waiting = step.step->waiting;
+    if (waiting == 0 || !step.requires_permits() || step.is_partial_gang() ||
+        pass.budget.is_spent())
+    {
+        return;
+    }
+    if (permits.request_in_flight)
+    {
+        pass.demand.promise(step, std::min(waiting, permits.requested_tasks));
+        return;
+    }
+    if (step.permit_wait_reason == permit_wait::at_cap)
+    {
+        // Starts with the permits that it has once the cap admits it.
+        pass.demand.promise(step, std::min(waiting, permits.requested_tasks));
+        return;
+    }
+    if (!permit_requests::may_ask(step, pass.now, pass.budget))
+    {
+        return;
+    }
+    // A gang is not asked for ahead: its members need room at the same time.
+    resources ending;
+    if (step.has_cap() && !step.spec->gang)
+    {
+        ending = permits_.ending_use(
+            step,
+            pass.workers.used_by(step.account->name),
+            run_times_.expect(step.job->job.queue, *step.spec));
+    }
+    pass.demand.add(
+        step,
+        waiting,
+        ending,
+        [&](const resources& added) { return pass.within_cap(step, added); });
+}
+
+void planner::request_permits(
+    planning_pass& pass, const std::vector<waiting_step>& waiting)
+{
+    if (pass.budget.is_spent())
+    {
+        return;
+    }
+    for (const waiting_step& step : waiting)
     {
-        request_task_permits(pass, step);
+        if (step.step->permits.request_in_flight)
+        {
+            pass.demand.add_unanswered(step);
+        }
     }
+    permit_requests::planning_view view{
+        pass.workers,
+        pass.now,
+        pass.budget,
+        [&](const waiting_step& step, const worker_entry& worker)
+        { return may_run(pass, step, worker); },
+        [&](const waiting_step& step, std::vector<const worker_entry*>& workers)
+        { sort_by_speed(pass, step, workers); },
+        speeds_.is_uneven(),
+        choice_factor(),
+        pass.examined,
+        pass.decided.permit_requests};
+    pass.demand.distribute(
+        [&] { return view.budget.is_spent(); },
+        [&](waiting_step& step, std::uint32_t tasks) {
+            return permits_.ask(
+                view, step, tasks, pass.demand.unanswered(step));
+        });
 }
 
 bool planner::below_worker_limit(
-    const candidate& step, const worker_entry& worker)
+    const waiting_step& step, const worker_entry& worker)
 {
     if (step.spec->max_per_worker == 0)
     {
@@ -372,7 +408,7 @@
 
 bool planner::may_run(
     const planning_pass& pass,
-    const candidate& step,
+    const waiting_step& step,
     const worker_entry& worker) const
 {
     if (!pass.workers.is_usable(worker, pass.now) || worker.trials > 0 ||
@@ -401,7 +437,7 @@
 }
 
 void planner::reserve(
-    planning_pass& pass, worker_handle worker, const candidate& step)
+    planning_pass& pass, worker_handle worker, const waiting_step& step)
 {
     reservation& entry = reservations_[worker];
     if (entry.pass != pass.number)
@@ -410,25 +446,59 @@
     }
 }
 
+std::optional<permit_wait> planner::wait_at(
+    const planning_pass& pass,
+    const waiting_step& step,
+    const step_permits::grant& grant) const
+{
+    const worker_entry* worker = pass.workers.at(grant.worker);
+    if (grant.until <= pass.now + settings_.permit_expiry_margin)
+    {
+        return permit_wait::expired;
+    }
+    if (worker == nullptr ||
+        grant.incarnation != worker->registration.incarnation)
+    {
+        return permit_wait::worker_replaced;
+    }
+    if (!step.needs.fits_in(worker->free_resources()))
+    {
+        return permit_wait::worker_full;
+    }
+    if (may_run(pass, step, *worker))
+    {
+        return std::nullopt;
+    }
+    return !pass.workers.is_usable(*worker, pass.now)
+               ? permit_wait::worker_unusable
+           : worker->trials > 0 ? permit_wait::on_trial
+                                : permit_wait::reserved;
+}
+
 std::vector<worker_entry*>
-planner::permitted_workers(planning_pass& pass, const candidate& step) const
+planner::permitted_workers(planning_pass& pass, waiting_step& step) const
 {
     std::vector<worker_entry*> found;
     for (const step_permits::grant& grant : step.step->permits.allowed)
     {
         ++pass.examined;
-        worker_entry* worker = pass.workers.at(grant.worker);
-        if (worker != nullptr && step.needs.fits_in(worker->free_resources()) &&
-            is_valid(pass, grant, *worker) && may_run(pass, step, *worker))
+        const auto reason = wait_at(pass, step, grant);
+        if (reason)
         {
-            found.push_back(worker);
+            step.note_wait(*reason);
+        }
+        else
+        {
+            found.push_back(pass.workers.at(grant.worker));
         }
     }
     return found;
 }
 
 double planner::score(
-    const candidate& step, const task_entry& task, const worker_entry& worker)
+    const waiting_step& step,
+    const task_entry& task,
+    const worker_entry& worker)
 {
     double score = free_fraction(
         worker.free_resources() - step.needs, worker.registration.capacity);
@@ -452,7 +522,7 @@
 }
 
 milliseconds
-planner::time_left(const planning_pass& pass, const candidate& step) const
+planner::time_left(const planning_pass& pass, const waiting_step& step) const
 {
     const urgency_limits& limits = step.step->limits;
     const instant until = pass.now <= limits.in_time_until
@@ -464,7 +534,7 @@
 }
 
 double planner::chance_late(
-    const planning_pass& pass, const candidate& step, double speed) const
+    const planning_pass& pass, const waiting_step& step, double speed) const
 {
     const queue_name& queue = step.job->job.queue;
     return speeds_.chance_longer(
@@ -476,7 +546,7 @@
 
 double planner::speed_score(
     const planning_pass& pass,
-    const candidate& step,
+    const waiting_step& step,
     const worker_entry& worker) const
 {
     if (!speeds_.is_uneven() && worker.cold_until <= pass.now)
@@ -492,7 +562,7 @@
 template<class Worker>
 void planner::sort_by_speed(
     const planning_pass& pass,
-    const candidate& step,
+    const waiting_step& step,
     std::vector<Worker*>& workers) const
 {
     if (!speeds_.is_uneven())
@@ -519,7 +589,7 @@
 
 worker_entry* planner::best_worker(
     planning_pass& pass,
-    const candidate& step,
+    const waiting_step& step,
     std::uint32_t index,
     const std::vector<worker_entry*>& permitted) const
 {
@@ -587,7 +657,7 @@
     return best;
 }
 
-void planner::place_tasks(planning_pass& pass, candidate& step)
+void planner::place_tasks(planning_pass& pass, waiting_step& step)
 {
     std::vector<worker_entry*> permitted;
     if (step.requires_permits())
@@ -606,16 +676,18 @@
         }
         if (!pass.within_cap(step, step.needs))
         {
-            step.at_cap = true;
+            step.note_wait(permit_wait::at_cap);
             return;
         }
         worker_entry* best = best_worker(pass, step, index, permitted);
         if (best == nullptr && step.step->tasks[index].crashes.is_suspect())
         {
+            step.note_wait(permit_wait::on_trial);
             continue; // Others need no quiet worker.
         }
         if (best == nullptr)
         {
+            step.note_wait(permit_wait::worker_full);
             return;
         }
         start(pass, step, index, pass.jobs.next_run(*step.job), *best);
@@ -627,7 +699,7 @@
 }
 
 run_entry::trial_length
-planner::trial_of(const candidate& step, std::uint32_t index)
+planner::trial_of(const waiting_step& step, std::uint32_t index)
 {
     using trial_length = run_entry::trial_length;
     const auto of_task = [](const task_entry& task)
@@ -660,7 +732,7 @@
 
 void planner::start(
     planning_pass& pass,
-    candidate& step,
+    waiting_step& step,
     std::uint32_t index,
     run_number run,
     worker_entry& worker)
@@ -685,6 +757,8 @@
         const step_permits::grant* grant =
             step.step->permits.find(worker.handle);
         decision.ticket = grant == nullptr ? std::string() : grant->ticket;
+        pass.decided.permits_used += step.step->permits.is_unused ? 1 : 0;
+        step.step->permits.is_unused = false;
     }
     run_entry entry;
     entry.task = decision.task;
@@ -702,7 +776,7 @@
 
 std::vector<worker_entry*> planner::fit_gang(
     planning_pass& pass,
-    candidate& step,
+    waiting_step& step,
     bool need_permits,
     const rack_name* rack)
 {
@@ -783,7 +857,7 @@
 }
 
 std::vector<worker_entry*>
-planner::fit_gang_into_rack(planning_pass& pass, candidate& step)
+planner::fit_gang_into_rack(planning_pass& pass, waiting_step& step)
 {
     std::set<rack_name> racks;
     if (step.requires_permits())
@@ -814,11 +888,15 @@
     return {};
 }
 
-bool planner::place_gang(planning_pass& pass, candidate& step)
+bool planner::place_gang(planning_pass& pass, waiting_step& step)
 {
     const auto count = static_cast<std::int64_t>(step.step->tasks.size());
     if (!pass.within_cap(step, step.needs * count))
     {
+        if (step.requires_permits() && !step.step->permits.allowed.empty())
+        {
+            step.note_wait(permit_wait::at_cap);
+        }
         return false;
     }
     std::vector<worker_entry*> places;
@@ -859,16 +937,19 @@
             }
         }
     }
-    if (step.requires_permits())
+    if (step.requires_permits() && !step.step->permits.allowed.empty())
     {
-        request_gang_permits(pass, step, fitting);
+        step.note_wait(
+            fitting.empty() ? permit_wait::gang_incomplete
+                            : permit_wait::expired);
     }
+    step.gang_places.assign(fitting.begin(), fitting.end());
     return false;
 }
 
 bool planner::can_hold(
     const planning_pass& pass,
-    const candidate& step,
+    const waiting_step& step,
     const std::vector<worker_handle>& reserved)
 {
     std::size_t members = 0;
@@ -894,7 +975,7 @@
     return count;
 }
 
-void planner::reserve_workers(planning_pass& pass, candidate& step)
+void planner::reserve_workers(planning_pass& pass, waiting_step& step)
 {
     const bool has_allowed_workers =
         !step.requires_permits() || !step.step->permits.allowed.empty();
@@ -968,310 +1049,4 @@
     reserved_workers_[step.step->id] = std::move(reserved);
 }
 
-bool planner::may_request_permits(
-    const planning_pass& pass, const candidate& step) const
-{
-    const step_permits& permits = step.step->permits;
-    const policy_timing& timing = *step.queue->advice;
-    const bool always_long =
-        timing.base + timing.per_worker > pass.budget.longest_short_request;
-    return !permits.request_in_flight && pass.now >= permits.retry_not_before &&
-           (pass.budget.long_requests > 0 ||
-            (pass.budget.short_requests > 0 && !always_long));
-}
-
-void planner::request_task_permits(planning_pass& pass, candidate& step)
-{
-    if (!may_request_permits(pass, step))
-    {
-        return;
-    }
-    const step_permits& permits = step.step->permits;
-    const double share = allowed_share_of(step.queue->name);
-    std::vector<const worker_entry*> named;
-    double expected_permits = 0;
-    const double wanted_permits = step.step->waiting;
-    const auto is_enough = [&]
-    {
-        return expected_permits >= wanted_permits ||
-               named.size() >= settings_.max_workers_per_request;
-    };
-    // Expired permits are likely to be renewed.
-    for (const step_permits::grant& grant : permits.allowed)
-    {
-        ++pass.examined;
-        const worker_entry* worker = pass.workers.at(grant.worker);
-        if (!is_enough() && worker != nullptr &&
-            !permits.denied.contains(grant.worker) &&
-            step.needs.fits_in(worker->free_resources()) &&
-            may_run(pass, step, *worker))
-        {
-            named.push_back(worker);
-            expected_permits += 1.0;
-        }
-    }
-    const impl::fit_index* free =
-        pass.workers.free_capacity(step.queue->service);
-    if (!is_enough() && free != nullptr)
-    {
-        const double permits_each = share * settings_.expected_permit_factor;
-        const auto wanted = static_cast<std::size_t>(std::ceil(std::min(
-            (wanted_permits - expected_permits) / permits_each,
-            static_cast<double>(
-                settings_.max_workers_per_request - named.size()))));
-        std::vector<const worker_entry*> fitting;
-        std::vector<const worker_entry*>& found =
-            speeds_.is_uneven() ? fitting : named;
-        const std::size_t most = found.size() + wanted * choice_factor();
-        free->visit(
-            step.needs,
-            [&](const impl::fit_index::candidate& each)
-            {
-                ++pass.examined;
-                const worker_entry* worker = pass.workers.at(each.worker);
-                if (worker != nullptr &&
-                    !permits.denied.contains(each.worker) &&
-                    permits.find(each.worker) == nullptr &&
-                    may_run(pass, step, *worker))
-                {
-                    found.push_back(worker);
-                }
-                return found.size() < most;
-            },
-            rotation_of(step.step->id));
-        sort_by_speed(pass, step, fitting);
-        fitting.resize(std::min(fitting.size(), wanted));
-        named.insert(named.end(), fitting.begin(), fitting.end());
-        expected_permits = permits_each * static_cast<double>(named.size());
-    }
-    if (expected_permits < wanted_permits &&
-        step.urgency == urgency_class::in_time && permits.allowed.empty() &&
-        permits.denied.empty())
-    {
-        add_busy_workers(pass, step, named);
-    }
-    request_permits(pass, step, named);
-}
-
-void planner::add_busy_workers(
-    planning_pass& pass,
-    const candidate& step,
-    std::vector<const worker_entry*>& named) const
-{
-    const policy_timing& timing = *step.queue->advice;
-    const double workers_in_time_limit =
-        timing.per_worker.count() <= 0
-            ? static_cast<double>(settings_.max_workers_per_request)
-            : settings_.busy_workers_time_share *
-                  (timing.base / timing.per_worker);
-    const auto max_workers = std::min(
-        settings_.max_workers_per_request,
-        static_cast<std::size_t>(std::max(0.0, workers_in_time_limit)));
-    const std::vector<worker_entry*>& all = pass.workers.all();
-    const std::size_t first = rotation_of(step.step->id);
-    for (std::size_t n = 0; n < all.size() && named.size() < max_workers; ++n)
-    {
-        ++pass.examined;
-        const worker_entry* worker = all[(first + n) % all.size()];
-        if (!step.needs.fits_in(worker->free_resources()) &&
-            step.needs.fits_in(worker->registration.capacity) &&
-            may_run(pass, step, *worker))
-        {
-            named.push_back(worker);
-        }
-    }
-}
-
-void planner::request_gang_permits(
-    planning_pass& pass,
-    candidate& step,
-    const std::vector<worker_entry*>& places)
-{
-    if (!may_request_permits(pass, step))
-    {
-        return;
-    }
-    if (places.empty())
-    {
-        request_permits(pass, step, gang_candidates(pass, step));
-        return;
-    }
-    std::vector<const worker_entry*> named;
-    for (const worker_entry* worker : places)
-    {
-        if (named.empty() || named.back() != worker)
-        {
-            named.push_back(worker);
-        }
-    }
-    const std::size_t most = std::min(
-        settings_.max_workers_per_request,
-        named.size() + 1 + named.size() / settings_.spare_worker_divisor);
-    for (const step_permits::grant& grant : step.step->permits.allowed)
-    {
-        const worker_entry* worker = pass.workers.at(grant.worker);
-        if (named.size() < most && worker != nullptr &&
-            step.needs.fits_in(worker->free_resources()) &&
-            may_run(pass, step, *worker) &&
-            std::find(named.begin(), named.end(), worker) == named.end())
-        {
-            named.push_back(worker);
-        }
-    }
-    request_permits(pass, step, named);
-}
-
-std::vector<const worker_entry*>
-planner::gang_candidates(planning_pass& pass, const candidate& step)
-{
-    struct undecided_worker
-    {
-        const worker_entry* worker;
-        std::int64_t members_now;     ///< Members that fit now.
-        std::int64_t members_if_idle; ///< Members that fit on the idle worker.
-    };
-    const step_permits& permits = step.step->permits;
-    std::vector<undecided_worker> undecided;
-    const std::vector<worker_entry*>& all = pass.workers.all();
-    const std::size_t first = rotation_of(step.step->id);
-    for (std::size_t n = 0; n < all.size(); ++n)
-    {
-        ++pass.examined;
-        const worker_entry* worker = all[(first + n) % all.size()];
-        const std::int64_t members_if_idle = members_that_fit(
-            worker->registration.capacity, *step.spec, step.needs);
-        if (members_if_idle > 0 && !permits.denied.contains(worker->handle) &&
-            permits.find(worker->handle) == nullptr &&
-            may_run(pass, step, *worker))
-        {
-            undecided.push_back(
-                {worker,
-                 members_that_fit(
-                     worker->free_resources(), *step.spec, step.needs),
-                 members_if_idle});
-        }
-    }
-    std::stable_sort(
-        undecided.begin(),
-        undecided.end(),
-        [](const undecided_worker& left, const undecided_worker& right)
-        {
-            return std::pair(left.members_now, left.members_if_idle) >
-                   std::pair(right.members_now, right.members_if_idle);
-        });
-    const double share = allowed_share_of(step.queue->name);
-    const double wanted_members = settings_.gang_candidate_factor *
-                                  static_cast<double>(step.step->tasks.size());
-    double expected_members = 0;
-    std::vector<const worker_entry*> named;
-    for (const undecided_worker& each : undecided)
-    {
-        if (named.size() >= settings_.max_workers_per_request ||
-            expected_members >= wanted_members)
-        {
-            break;
-        }
-        named.push_back(each.worker);
-        expected_members += share * static_cast<double>(each.members_now);
-    }
-    return named;
-}
-
-void planner::request_permits(
-    planning_pass& pass,
-    candidate& step,
-    const std::vector<const worker_entry*>& workers)
-{
-    if (workers.empty())
-    {
-        return;
-    }
-    const auto expected = std::chrono::ceil<milliseconds>(
-        step.queue->advice->base +
-        step.queue->advice->per_worker * static_cast<double>(workers.size()));
-    std::size_t& left = expected > pass.budget.longest_short_request
-                            ? pass.budget.long_requests
-                            : pass.budget.short_requests;
-    if (left == 0)
-    {
-        return; // A later pass sends the request if it is still needed.
-    }
-    --left;
-    step.step->permits.request_in_flight = true;
-    permit_request& request = pass.decided.permit_requests.emplace_back();
-    request.step = step.step->id;
-    for (const worker_entry* worker : workers)
-    {
-        request.workers.push_back(worker->registration.id);
-    }
-    request.priority =
-        static_cast<std::uint32_t>(step.urgency) * priority_levels +
-        std::min(step.queue->priority, priority_levels - 1);
-    request.expected = expected;
-}
-
-double& planner::allowed_share_of(const queue_name& queue)
-{
-    return allowed_share_.try_emplace(queue, settings_.initial_allowed_share)
-        .first->second;
-}
-
-void planner::note_answer(
-    job_tracker& jobs,
-    worker_table& workers,
-    const step_id& step,
-    const std::vector<worker_id>& asked,
-    const permits& answer,
-    instant usable_until)
-{
-    step_entry* step_state = jobs.find(step);
-    if (step_state == nullptr)
-    {
-        return;
-    }
-    step_permits& known = step_state->permits;
-    known.request_in_flight = false;
-    std::size_t newly_answered = 0;
-    for (const worker_id& id : asked)
-    {
-        if (const worker_entry* worker = workers.find(id))
-        {
-            newly_answered += known.find(worker->handle) == nullptr ? 1 : 0;
-            known.denied.insert(worker->handle);
-        }
-    }
-    std::size_t newly_allowed = 0;
-    for (const permits::permit& permit : answer.allowed)
-    {
-        if (const worker_entry* worker = workers.find(permit.worker))
-        {
-            known.denied.erase(worker->handle);
-            newly_allowed += known.allow(
-                                 {worker->handle,
-                                  permit.ticket,
-                                  usable_until,
-                                  worker->registration.incarnation})
-                                 ? 1
-                                 : 0;
-        }
-    }
-    if (newly_answered > 0)
-    {
-        double& share = allowed_share_of(jobs.find(step.job)->job.queue);
-        const double allowed_now = static_cast<double>(newly_allowed) /
-                                   static_cast<double>(newly_answered);
-        share += settings_.allowed_share_smoothing * (allowed_now - share);
-    }
-}
-
-void planner::note_no_answer(
-    job_tracker& jobs, const step_id& step, instant retry_not_before)
-{
-    if (step_entry* entry = jobs.find(step))
-    {
-        entry->permits.request_in_flight = false;
-        entry->permits.retry_not_before = retry_not_before;
-    }
-}
-
 } // namespace acaciastile::fleet
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "fleet/job_tracker.hpp"
+#include "fleet/permit_requests.hpp"
 #include "fleet/urgency.hpp"
 #include "fleet/worker_speeds.hpp"
 #include "fleet/worker_table.hpp"
 
+#include <array>
 #include <map>
 #include <set>
 #include <vector>
@@ -31,26 +33,14 @@
     double chance_late = 0;
 };
 
-/// A request to the policy service of a queue: which of these workers may run
-/// the step?
-struct permit_request
-{
-    step_id step;
-    std::vector<worker_id> workers;
-    std::uint32_t priority = 0; ///< Lower values are sent first.
-    milliseconds expected{0};   ///< Expected response time.
-    /// Set by `advice_dispatcher` each time it delivers the question. Zero
-    /// until then, and from an owner of a build that sends no numbers.
-    std::uint64_t number = 0;
-};
+/// Most permits without a start that one pass reports for the log.
+inline constexpr std::size_t max_permit_waits_logged = 8;
 
-/// How many permit requests can be sent soon. Further ones would only become
-/// outdated while they wait.
-struct permit_request_budget
+/// A step whose permits have led to no start, for the first time of its job.
+struct first_permit_wait
 {
-    std::size_t short_requests = 0;
-    std::size_t long_requests = 0;
-    milliseconds longest_short_request{0}; ///< By expected response time.
+    step_id step;
+    permit_wait reason = permit_wait::expired;
 };
 
 /// The outcome of one planning pass.
@@ -58,6 +48,12 @@
 {
     std::vector<start_decision> starts;
     std::vector<permit_request> permit_requests;
+    /// Answers of the policy service by which this pass has begun to start
+    /// tasks.
+    std::size_t permits_used = 0;
+    /// Steps that have permits and did not start, by reason.
+    std::array<std::size_t, permit_wait_names.size()> permit_waits{};
+    std::vector<first_permit_wait> first_permit_waits;
     /// False if the pass stopped at its limit of work; the steps that are left
     /// are less urgent than those that were planned.
     bool complete = true;
@@ -68,36 +64,16 @@
 /// Tuning parameters of the planner.
 struct planner_settings
 {
-    /// Most workers in one permit request; a limit of the platform's interface.
-    std::size_t max_workers_per_request = 100;
+    permit_request_settings permits;
     /// Permits that expire within this time are not used, as the start order
     /// still has to reach the worker.
     milliseconds permit_expiry_margin{60};
-    /// Fraction of the workers that a policy is assumed to allow before its
-    /// first response.
-    double initial_allowed_share = 0.5;
-    /// Weight of the newest response in the moving average of that fraction.
-    double allowed_share_smoothing = 0.1;
-    /// Factor below one that reduces the expected number of permits, so that a
-    /// request names some spare workers: this costs less than a second request.
-    double expected_permit_factor = 0.7;
-    /// If too few workers are free, a step's first request also names busy
-    /// ones, as some will become free before the permits expire. They are added
-    /// while the time for all its workers is within this fraction of the base
-    /// time.
-    double busy_workers_time_share = 0.4;
-    /// A gang's request names workers until they are expected to hold this many
-    /// times its members, as free resources change before the response arrives.
-    double gang_candidate_factor = 2.5;
     /// While this many gangs have reservations, no further gang reserves
     /// workers whose runs have yet to end.
     std::size_t max_reserving_gangs = 3;
     /// Gangs that are out of time may have reserved at most this part of the
     /// workers when another one of them reserves.
     std::size_t late_reservation_divisor = 8;
-    /// A request for a gang that would fit names further workers, one for each
-    /// this many, as some may be taken before the response arrives.
-    std::size_t spare_worker_divisor = 8;
     /// How long the computed urgency limits of a step are used, as estimates of
     /// run times change slowly.
     milliseconds urgency_refresh{1'000};
@@ -129,7 +105,10 @@
 class planner
 {
 public:
-    explicit planner(planner_settings settings = {}) : settings_(settings) {}
+    explicit planner(planner_settings settings = {})
+        : settings_(settings), permits_(settings.permits)
+    {
+    }
 
     /// Runs one planning pass over all open jobs and records the starts in
     /// `jobs` and `workers`. `inherited_may_start` tells that every worker on
@@ -175,24 +154,11 @@
         return speeds_;
     }
 
-    /// Records the policy service's response to a request that named the
-    /// workers `asked`. Its permits can be used until `usable_until`.
-    void note_answer(
-        job_tracker& jobs,
-        worker_table& workers,
-        const step_id& step,
-        const std::vector<worker_id>& asked,
-        const permits& answer,
-        instant usable_until);
-
-    /// Records that a permit request failed. It is not repeated before
-    /// `retry_not_before`.
-    void note_no_answer(
-        job_tracker& jobs, const step_id& step, instant retry_not_before);
+    /// What the policy service has been asked and has answered.
+    [[nodiscard]] permit_requests& permits() noexcept { return permits_; }
 
 private:
     struct planning_pass;
-    struct candidate;
 
     /// A worker that is reserved for a gang in the current pass.
     struct reservation
@@ -207,25 +173,38 @@
     [[nodiscard]] static resources
     waiting_use(const planning_pass& pass, const job_entry& job);
     /// Steps with waiting tasks, most urgent first.
-    [[nodiscard]] std::vector<candidate>
+    [[nodiscard]] std::vector<waiting_step>
     collect_candidates(planning_pass& pass, bool inherited_may_start);
-    void place_step(planning_pass& pass, candidate& step);
-    void place_tasks(planning_pass& pass, candidate& step);
+    void place_step(planning_pass& pass, waiting_step& step);
+    void place_tasks(planning_pass& pass, waiting_step& step);
     /// Workers with a usable permit for the step and enough free resources.
+    /// Notes why the others do not count.
     [[nodiscard]] std::vector<worker_entry*>
-    permitted_workers(planning_pass& pass, const candidate& step) const;
+    permitted_workers(planning_pass& pass, waiting_step& step) const;
+    /// Why no task of the step can start with the permit; nothing if one can.
+    [[nodiscard]] std::optional<permit_wait> wait_at(
+        const planning_pass& pass,
+        const waiting_step& step,
+        const step_permits::grant& grant) const;
+    /// Counts the reason why the step's permits lead to no start, if any.
+    static void note_wait(planning_pass& pass, const waiting_step& step);
+    /// Counts what the step has asked for, or adds it to those that may ask.
+    void add_demand(planning_pass& pass, waiting_step& step);
+    /// Asks for permits for the steps that may, as the budget allows.
+    void request_permits(
+        planning_pass& pass, const std::vector<waiting_step>& waiting);
     /// The worker with the lowest score for the task: among `permitted` if the
     /// step requires permits, otherwise among all. Null if there is none.
     [[nodiscard]] worker_entry* best_worker(
         planning_pass& pass,
-        const candidate& step,
+        const waiting_step& step,
         std::uint32_t index,
         const std::vector<worker_entry*>& permitted) const;
     /// Cost of placing the task on the worker; lower is better. Prefers a tight
     /// fit, the rack of the task's data, and a worker other than the one where
     /// the task failed last.
     [[nodiscard]] static double score(
-        const candidate& step,
+        const waiting_step& step,
         const task_entry& task,
         const worker_entry& worker);
     /// Speed that is expected of the worker now.
@@ -236,21 +215,23 @@
     /// worker it takes. Zero for all where workers do not differ.
     [[nodiscard]] double speed_score(
         const planning_pass& pass,
-        const candidate& step,
+        const waiting_step& step,
         const worker_entry& worker) const;
     /// How long a run of the step may take so that the job still ends within
     /// its objective, or usefully where it cannot.
     [[nodiscard]] milliseconds
-    time_left(const planning_pass& pass, const candidate& step) const;
+    time_left(const planning_pass& pass, const waiting_step& step) const;
     /// Probability that a run of the step takes longer than that on a worker of
     /// the given speed.
     [[nodiscard]] double chance_late(
-        const planning_pass& pass, const candidate& step, double speed) const;
+        const planning_pass& pass,
+        const waiting_step& step,
+        double speed) const;
     /// Sorts workers by `speed_score` where workers differ in speed.
     template<class Worker>
     void sort_by_speed(
         const planning_pass& pass,
-        const candidate& step,
+        const waiting_step& step,
         std::vector<Worker*>& workers) const;
     /// How many times more workers than needed are compared for their speed.
     [[nodiscard]] std::size_t choice_factor() const noexcept
@@ -260,7 +241,7 @@
     /// How long a run of the task is on trial: it is, if runs of it may have
     /// crashed their workers.
     [[nodiscard]] static run_entry::trial_length
-    trial_of(const candidate& step, std::uint32_t index);
+    trial_of(const waiting_step& step, std::uint32_t index);
     /// True if the trial may take place on the worker: nothing else there has
     /// only just started.
     [[nodiscard]] static bool may_try(
@@ -268,62 +249,38 @@
         run_entry::trial_length trial,
         const worker_entry& worker);
     [[nodiscard]] static bool
-    below_worker_limit(const candidate& step, const worker_entry& worker);
+    below_worker_limit(const waiting_step& step, const worker_entry& worker);
     /// Starts the gang if all its members fit; otherwise reserves workers and
     /// requests permits.
-    bool place_gang(planning_pass& pass, candidate& step);
+    bool place_gang(planning_pass& pass, waiting_step& step);
     /// One worker for each member, or nothing if not all members fit. Without
     /// `need_permits`, expired permits count too. A non-null `rack` limits the
     /// choice to that rack.
     [[nodiscard]] std::vector<worker_entry*> fit_gang(
         planning_pass& pass,
-        candidate& step,
+        waiting_step& step,
         bool need_permits,
         const rack_name* rack);
     /// As `fit_gang`, within the rack that the members fit into; nothing if
     /// there is none.
     [[nodiscard]] std::vector<worker_entry*>
-    fit_gang_into_rack(planning_pass& pass, candidate& step);
+    fit_gang_into_rack(planning_pass& pass, waiting_step& step);
     /// Reserves workers for a gang that does not fit yet, so that it fits once
     /// their present runs have ended.
-    void reserve_workers(planning_pass& pass, candidate& step);
+    void reserve_workers(planning_pass& pass, waiting_step& step);
     /// True if the gang fits on the workers that are reserved for it once they
     /// are idle. They may have shrunk or left since.
     [[nodiscard]] static bool can_hold(
         const planning_pass& pass,
-        const candidate& step,
+        const waiting_step& step,
         const std::vector<worker_handle>& reserved);
     /// Number of workers that gangs have reserved.
     [[nodiscard]] std::size_t count_reserved() const;
-    void
-    reserve(planning_pass& pass, worker_handle worker, const candidate& step);
-    void request_task_permits(planning_pass& pass, candidate& step);
-    /// Adds workers that lack free resources now to a permit request.
-    void add_busy_workers(
-        planning_pass& pass,
-        const candidate& step,
-        std::vector<const worker_entry*>& named) const;
-    void request_gang_permits(
-        planning_pass& pass,
-        candidate& step,
-        const std::vector<worker_entry*>& places);
-    /// Workers for a gang's permit request on which the policy has not decided
-    /// yet; those with room for the most members come first.
-    [[nodiscard]] std::vector<const worker_entry*>
-    gang_candidates(planning_pass& pass, const candidate& step);
-    /// Estimated fraction of the workers that a queue's policy allows.
-    [[nodiscard]] double& allowed_share_of(const queue_name& queue);
-    /// True if the step needs a permit request and the budget may allow one.
-    [[nodiscard]] bool
-    may_request_permits(const planning_pass& pass, const candidate& step) const;
-    /// Adds a permit request to the plan if the budget allows it.
-    void request_permits(
-        planning_pass& pass,
-        candidate& step,
-        const std::vector<const worker_entry*>& workers);
+    void reserve(
+        planning_pass& pass, worker_handle worker, const waiting_step& step);
     void start(
         planning_pass& pass,
-        candidate& step,
+        waiting_step& step,
         std::uint32_t index,
         run_number run,
         worker_entry& worker);
@@ -331,7 +288,7 @@
     /// Ignores free resources and permits.
     [[nodiscard]] bool may_run(
         const planning_pass& pass,
-        const candidate& step,
+        const waiting_step& step,
         const worker_entry& worker) const;
     [[nodiscard]] bool is_valid(
         const planning_pass& pass,
@@ -339,7 +296,7 @@
         const worker_entry& worker) const;
 
     planner_settings settings_;
-    std::map<queue_name, double> allowed_share_;
+    permit_requests permits_;
     run_time_estimates run_times_;
     worker_speeds speeds_;
     /// Workers reserved for each gang until all its members fit.
--- a/src/fleet/urgency.hpp
+++ b/src/fleet/urgency.hpp
@@ -62,6 +62,13 @@
     hopeless ///< Expected to end too late to be useful.
 };
 
+/// True if the result no longer counts on the job's objective.
+[[nodiscard]] constexpr bool is_out_of_time(urgency_class urgency) noexcept
+{
+    return urgency == urgency_class::excess ||
+           urgency == urgency_class::hopeless;
+}
+
 /// Length of the critical path through the unfinished steps of an occurrence,
 /// including the response times of the policy service.
 [[nodiscard]] milliseconds remaining_work(
--- a/tests/fleet/large_fleet_load_test.cpp
+++ b/tests/fleet/large_fleet_load_test.cpp
@@ -127,7 +127,7 @@
             {
                 answer.allowed.push_back({worker, "ticket"});
             }
-            decider.note_answer(
+            decider.permits().note_answer(
                 jobs, workers, request.step, request.workers, answer, now + 1s);
         }
     }
@@ -258,7 +258,7 @@
                     answer.allowed.push_back({worker, "ticket"});
                 }
             }
-            fleet.decider.note_answer(
+            fleet.decider.permits().note_answer(
                 fleet.jobs,
                 fleet.workers,
                 request.step,
@@ -298,7 +298,7 @@
                     answer.allowed.push_back({worker, "ticket"});
                 }
             }
-            fleet.decider.note_answer(
+            fleet.decider.permits().note_answer(
                 fleet.jobs,
                 fleet.workers,
                 request.step,
--- a/tests/fleet/planner_test.cpp
+++ b/tests/fleet/planner_test.cpp
@@ -100,7 +100,7 @@
         answer.allowed.push_back(
             {first.permit_requests.front().workers[n], "ticket"});
     }
-    fixture.decider.note_answer(
+    fixture.decider.permits().note_answer(
         fixture.jobs,
         fixture.workers,
         first.permit_requests.front().step,
@@ -186,7 +186,7 @@
     permits answer;
     answer.valid = 1'500ms;
     answer.allowed = {{both[0], "ticket"}, {both[1], "ticket"}};
-    fixture.decider.note_answer(
+    fixture.decider.permits().note_answer(
         fixture.jobs,
         fixture.workers,
         step,
