--- a/src/fleet/permit_demand.cpp
+++ b/src/fleet/permit_demand.cpp
@@ -36,7 +36,7 @@
     if (tasks > 0)
     {
         promise(step, tasks);
-        entries_.push_back({&step, tasks, none});
+        entries_.push_back({&step, step.job->account_index, tasks, none});
     }
 }
 
@@ -77,7 +77,7 @@
     std::priority_queue<turn, std::vector<turn>, std::greater<>> turns;
     for (std::uint32_t at = begin; at < end; ++at)
     {
-        account_state& account = account_of(*entries_[at].step);
+        account_state& account = accounts_[entries_[at].account];
         if (account.first == none)
         {
             account.first = at;
--- a/src/fleet/permit_demand.hpp
+++ b/src/fleet/permit_demand.hpp
@@ -74,6 +74,7 @@
     struct entry
     {
         waiting_step* step = nullptr;
+        std::uint32_t account = 0;
         std::uint32_t tasks = 0;
         std::uint32_t next = none; ///< Of the same account and rank.
     };
--- a/src/fleet/permit_requests.cpp
+++ b/src/fleet/permit_requests.cpp
@@ -14,6 +14,9 @@
 /// combined into a request's priority.
 constexpr std::uint32_t priority_levels = 1'000;
 
+/// Workers whose room others count on that are passed over in one search.
+constexpr std::size_t max_contested_compared = 64;
+
 /// Spreads the searches of different steps over similar workers.
 std::size_t rotation_of(const step_id& step)
 {
@@ -102,12 +105,15 @@
     step_permits& permits = step.step->permits;
     permits.request_in_flight = true;
     permits.requested_tasks = tasks;
+    permits.requested_workers.clear();
     permit_request& request = view.decided.emplace_back();
     request.step = step.step->id;
     for (const worker_entry* worker : named)
     {
         request.workers.push_back(worker->registration.id);
+        permits.requested_workers.push_back(worker->handle);
     }
+    view.claims.add(permits.requested_workers, step.needs, tasks);
     request.priority = priority_of(step);
     request.expected = expected;
     request.turn = turn;
@@ -127,6 +133,8 @@
         return expected_permits >= wanted_permits ||
                named.size() >= settings_.max_workers_per_request;
     };
+    // Workers whose room others count on, or that were full before.
+    named_workers contested;
     // Expired permits are likely to be renewed.
     for (const step_permits::grant& grant : permits.allowed)
     {
@@ -137,6 +145,11 @@
             step.needs.fits_in(worker->free_resources()) &&
             view.may_run(step, *worker))
         {
+            if (grant.was_full || !view.claims.has_room(*worker, step.needs))
+            {
+                contested.push_back(worker);
+                continue;
+            }
             named.push_back(worker);
             expected_permits += 1.0;
         }
@@ -164,9 +177,12 @@
                     permits.find(each.worker) == nullptr &&
                     view.may_run(step, *worker))
                 {
-                    found.push_back(worker);
+                    const bool is_free =
+                        view.claims.has_room(*worker, step.needs);
+                    (is_free ? found : contested).push_back(worker);
                 }
-                return found.size() < most;
+                return found.size() < most &&
+                       contested.size() < most + max_contested_compared;
             },
             rotation_of(step.step->id));
         view.sort_by_speed(step, fitting);
@@ -174,6 +190,15 @@
         named.insert(named.end(), fitting.begin(), fitting.end());
         expected_permits = permits_each * static_cast<double>(named.size());
     }
+    for (const worker_entry* worker : contested)
+    {
+        if (is_enough())
+        {
+            break;
+        }
+        named.push_back(worker);
+        expected_permits += share * settings_.expected_permit_factor;
+    }
     if (expected_permits < wanted_permits &&
         step.urgency == urgency_class::in_time && permits.allowed.empty() &&
         permits.denied.empty())
@@ -213,12 +238,13 @@
 permit_requests::named_workers
 permit_requests::gang_workers(planning_view& view, const waiting_step& step)
 {
-    if (step.gang_places.empty())
+    const auto places = view.gang_places.find(step.step);
+    if (places == view.gang_places.end())
     {
         return gang_candidates(view, step);
     }
     named_workers named;
-    for (const worker_entry* worker : step.gang_places)
+    for (const worker_entry* worker : places->second)
     {
         if (named.empty() || named.back() != worker)
         {
--- a/src/fleet/permit_requests.hpp
+++ b/src/fleet/permit_requests.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet/permit_demand.hpp"
 #include "fleet/ports.hpp"
+#include "fleet/room_claims.hpp"
 #include "fleet/worker_table.hpp"
 
 #include <absl/functional/function_ref.h>
@@ -75,6 +76,8 @@
 class permit_requests
 {
 public:
+    using named_workers = std::vector<const worker_entry*>;
+
     /// What one planning pass knows.
     struct planning_view
     {
@@ -92,6 +95,9 @@
         /// How many times more workers than needed are compared.
         std::size_t choice_factor = 1;
         std::size_t& examined;
+        /// Places of gangs on workers with permits, some of which have expired.
+        const std::map<const step_entry*, named_workers>& gang_places;
+        room_claims& claims; ///< Of requests without an answer.
         std::vector<permit_request>& decided;
     };
 
@@ -139,8 +145,6 @@
         job_tracker& jobs, const step_id& step, instant retry_not_before);
 
 private:
-    using named_workers = std::vector<const worker_entry*>;
-
     [[nodiscard]] named_workers
     task_workers(planning_view& view, waiting_step& step, std::uint32_t tasks);
     /// Adds workers that lack free resources now.
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -71,6 +71,9 @@
     /// Of the workers that this owner has not heard from, if it is known.
     std::optional<resources> unheard_capacity;
     permit_demand demand;
+    room_claims claims{}; ///< Of requests without an answer.
+    /// Places of gangs on workers with permits, some of which have expired.
+    std::map<const step_entry*, permit_requests::named_workers> gang_places{};
 
     /// True if the account stays within its cap with `added`, whatever is
     /// running unknown to this owner.
@@ -151,7 +154,7 @@
         note_wait(pass, step);
         add_demand(pass, step);
     }
-    request_permits(pass, waiting);
+    request_permits(pass);
     pass.decided.examined = pass.examined;
     return std::move(pass.decided);
 }
@@ -332,6 +335,9 @@
     }
     if (permits.request_in_flight)
     {
+        pass.demand.add_unanswered(step);
+        pass.claims.add(
+            permits.requested_workers, step.needs, permits.requested_tasks);
         pass.demand.promise(step, std::min(waiting, permits.requested_tasks));
         return;
     }
@@ -361,31 +367,29 @@
         [&](const resources& added) { return pass.within_cap(step, added); });
 }
 
-void planner::request_permits(
-    planning_pass& pass, const std::vector<waiting_step>& waiting)
+void planner::request_permits(planning_pass& pass)
 {
     if (pass.budget.is_spent())
     {
         return;
     }
-    for (const waiting_step& step : waiting)
-    {
-        if (step.step->permits.request_in_flight)
-        {
-            pass.demand.add_unanswered(step);
-        }
-    }
+    const auto may_run_step =
+        [&](const waiting_step& step, const worker_entry& worker)
+    { return may_run(pass, step, worker); };
+    const auto sort_workers =
+        [&](const waiting_step& step, permit_requests::named_workers& workers)
+    { sort_by_speed(pass, step, workers); };
     permit_requests::planning_view view{
         pass.workers,
         pass.now,
         pass.budget,
-        [&](const waiting_step& step, const worker_entry& worker)
-        { return may_run(pass, step, worker); },
-        [&](const waiting_step& step, std::vector<const worker_entry*>& workers)
-        { sort_by_speed(pass, step, workers); },
+        may_run_step,
+        sort_workers,
         speeds_.is_uneven(),
         choice_factor(),
         pass.examined,
+        pass.gang_places,
+        pass.claims,
         pass.decided.permit_requests};
     pass.demand.distribute(
         [&] { return view.budget.is_spent(); },
@@ -479,13 +483,14 @@
 planner::permitted_workers(planning_pass& pass, waiting_step& step) const
 {
     std::vector<worker_entry*> found;
-    for (const step_permits::grant& grant : step.step->permits.allowed)
+    for (step_permits::grant& grant : step.step->permits.allowed)
     {
         ++pass.examined;
         const auto reason = wait_at(pass, step, grant);
         if (reason)
         {
             step.note_wait(*reason);
+            grant.was_full |= *reason == permit_wait::worker_full;
         }
         else
         {
@@ -943,7 +948,10 @@
             fitting.empty() ? permit_wait::gang_incomplete
                             : permit_wait::expired);
     }
-    step.gang_places.assign(fitting.begin(), fitting.end());
+    if (!fitting.empty() && step.requires_permits())
+    {
+        pass.gang_places[step.step].assign(fitting.begin(), fitting.end());
+    }
     return false;
 }
 
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -191,8 +191,7 @@
     /// Counts what the step has asked for, or adds it to those that may ask.
     void add_demand(planning_pass& pass, waiting_step& step);
     /// Asks for permits for the steps that may, as the budget allows.
-    void request_permits(
-        planning_pass& pass, const std::vector<waiting_step>& waiting);
+    void request_permits(planning_pass& pass);
     /// The worker with the lowest score for the task: among `permitted` if the
     /// step requires permits, otherwise among all. Null if there is none.
     [[nodiscard]] worker_entry* best_worker(
--- a/src/fleet/waiting_step.hpp
+++ b/src/fleet/waiting_step.hpp
@@ -7,13 +7,10 @@
 #include <map>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace acaciastile::fleet
 {
 
-struct worker_entry;
-
 /// A step with waiting tasks, as one planning pass sees it.
 struct waiting_step
 {
@@ -30,8 +27,6 @@
     bool tight = false; ///< See `is_tight`.
     /// Why its permits lead to no start; nothing if it has none.
     std::optional<permit_wait> permit_wait_reason;
-    /// A gang's places on workers with permits, some of which have expired.
-    std::vector<const worker_entry*> gang_places;
 
     /// Planning order: by urgency class, then by the queue's priority.
     [[nodiscard]] std::pair<urgency_class, std::uint32_t> rank() const
--- a/tests/fleet/planner_test.cpp
+++ b/tests/fleet/planner_test.cpp
@@ -228,3 +228,67 @@
     const plan later = fixture.decide();
     CHECK(later.starts.size() == 2);
 }
+
+TEST_CASE("requests without an answer spread over the free workers")
+{
+    planner_fixture fixture(40);
+    // Half of the workers are expected to be allowed, so each step names three.
+    constexpr int steps = 50;
+    for (int n = 0; n < steps; ++n)
+    {
+        fixture.submit("a" + std::to_string(n), 1);
+    }
+    std::map<worker_id, std::size_t> named;
+    const auto count = [&](const plan& decided)
+    {
+        for (const permit_request& request : decided.permit_requests)
+        {
+            for (const worker_id& worker : request.workers)
+            {
+                ++named[worker];
+            }
+        }
+    };
+    fixture.budget.short_requests = steps / 2;
+    count(fixture.decide());
+    count(fixture.decide());
+    // A worker has room for two of the tasks. It is named for a third of a task
+    // by each request, so the fifth would be for more than its second task.
+    for (const auto& [worker, times] : named)
+    {
+        CAPTURE(worker.str());
+        CHECK(times <= 4);
+    }
+}
+
+TEST_CASE("a step asks elsewhere than for a worker that was full")
+{
+    planner_fixture fixture(5);
+    fixture.submit("a", 1);
+    const plan first = fixture.decide();
+    REQUIRE(first.permit_requests.size() == 1);
+    const permit_request& asked = first.permit_requests.front();
+    const worker_id allowed = asked.workers.front();
+    fixture.fill(allowed.str());
+    fixture.decider.permits().note_answer(
+        fixture.jobs,
+        fixture.workers,
+        asked.step,
+        asked.workers,
+        {{{allowed, "ticket"}}, 1'500ms},
+        fixture.now + 1'500ms);
+    const plan second = fixture.decide();
+    CHECK(second.starts.empty());
+    REQUIRE(second.permit_requests.size() == 1);
+    fixture.decider.permits().note_no_answer(
+        fixture.jobs, asked.step, fixture.now);
+    // The permit expires, and the worker has room again.
+    fixture.now += 2s;
+    fixture.workers.remove_run(
+        *fixture.workers.find(allowed),
+        {{job_id("other-" + allowed.str()), 0, 0}, 0},
+        1);
+    const plan third = fixture.decide();
+    REQUIRE(third.permit_requests.size() == 1);
+    CHECK(third.permit_requests.front().workers.front() != allowed);
+}
