--- a/src/fleet/advice_dispatcher.cpp
+++ b/src/fleet/advice_dispatcher.cpp
@@ -32,7 +32,7 @@
     if (auto unanswered = assignments_.extract(vm))
     {
         permit_request& question = unanswered.mapped().question;
-        long_assigned_ -= is_long(question) ? 1 : 0;
+        release(question);
         add(std::move(question)); // The VM has lost it.
     }
     if (const auto at = idle_vms_.find(vm); at != idle_vms_.end())
@@ -67,13 +67,19 @@
         waiting_.end(),
         [&](const permit_request& each) { return is_long(each); }));
     const std::size_t brief = waiting_.size() - lengthy;
+    const auto first = static_cast<std::size_t>(std::count_if(
+        waiting_.begin(),
+        waiting_.end(),
+        [&](const permit_request& each)
+        { return each.turn == 0 && !is_long(each); }));
     const std::size_t max_brief_ready =
         std::max<std::size_t>(1, count_active_vms(now)) *
         settings_.short_ready_per_vm;
     return {
         max_brief_ready - std::min(max_brief_ready, brief),
         settings_.max_long_ready - std::min(settings_.max_long_ready, lengthy),
-        settings_.long_question_threshold};
+        settings_.long_question_threshold,
+        max_brief_ready - std::min(max_brief_ready, first)};
 }
 
 std::vector<permit_request> advice_dispatcher::expire(instant now)
@@ -93,7 +99,7 @@
                 next_deadline_ = std::min(next_deadline_, each.second.deadline);
                 return false;
             }
-            long_assigned_ -= is_long(each.second.question) ? 1 : 0;
+            release(each.second.question);
             overdue.push_back(std::move(each.second.question));
             return true;
         });
@@ -119,15 +125,21 @@
         active_vms > settings_.vms_reserved_for_short
             ? active_vms - settings_.vms_reserved_for_short
             : 1;
+    const std::size_t further_allowed =
+        active_vms > settings_.vms_reserved_for_first
+            ? active_vms - settings_.vms_reserved_for_first
+            : 1;
     for (auto question = waiting_.begin();
          question != waiting_.end() && !idle_vms_.empty();)
     {
-        if (is_long(*question) && long_assigned_ >= long_allowed)
+        if ((is_long(*question) && long_assigned_ >= long_allowed) ||
+            (question->turn > 0 && further_assigned_ >= further_allowed))
         {
             ++question;
             continue;
         }
         long_assigned_ += is_long(*question) ? 1 : 0;
+        further_assigned_ += question->turn > 0 ? 1 : 0;
         auto receiver = idle_vms_.extract(idle_vms_.begin());
         const instance_id vm = receiver.key();
         const instant deadline =
@@ -154,7 +166,7 @@
         return std::nullopt;
     }
     std::optional<permit_request> answered = std::move(at->second.question);
-    long_assigned_ -= is_long(*answered) ? 1 : 0;
+    release(*answered);
     assignments_.erase(at);
     return answered;
 }
--- a/src/fleet/advice_dispatcher.hpp
+++ b/src/fleet/advice_dispatcher.hpp
@@ -19,6 +19,10 @@
     /// Number of VMs that are kept free of long questions, so that short ones
     /// need not wait for them. One long question is always allowed.
     std::size_t vms_reserved_for_short = 2;
+    /// Number of VMs that are kept free of questions of accounts that have had
+    /// another one unanswered, so that a backlog leaves room for others. One
+    /// such question is always allowed.
+    std::size_t vms_reserved_for_first = 1;
     /// A question is overdue this long after twice its expected answer time.
     milliseconds answer_grace{900};
     /// A VM that has not asked for a question for this long, and should not be
@@ -107,6 +111,12 @@
     {
         return question.expected > settings_.long_question_threshold;
     }
+    /// Counts a question that is no longer assigned.
+    void release(const permit_request& question)
+    {
+        long_assigned_ -= is_long(question) ? 1 : 0;
+        further_assigned_ -= question.turn > 0 ? 1 : 0;
+    }
     [[nodiscard]] std::size_t count_active_vms(instant now) const;
     /// Ends what is overdue by now: returns the unanswered questions, and ends
     /// the requests of idle VMs with nothing.
@@ -118,7 +128,10 @@
     std::map<instance_id, idle_vm> idle_vms_;
     std::map<instance_id, assignment> assignments_;
     std::map<instance_id, instant> last_seen_;
-    std::size_t long_assigned_ = 0; ///< Long questions in `assignments_`.
+    /// Of the questions in `assignments_`: the long ones, and those that are
+    /// not the first of their account.
+    std::size_t long_assigned_ = 0;
+    std::size_t further_assigned_ = 0;
     /// No deadline of an assignment or an idle VM is earlier.
     instant next_deadline_ = instant::max();
     /// The last result of `count_active_vms`, and until when it is used.
--- a/src/fleet/permit_requests.cpp
+++ b/src/fleet/permit_requests.cpp
@@ -14,8 +14,8 @@
 /// combined into a request's priority.
 constexpr std::uint32_t priority_levels = 1'000;
 
-/// Workers whose room others count on that are passed over in one search.
-constexpr std::size_t max_contested_compared = 64;
+/// Workers whose room others count on that one search passes over at most.
+constexpr std::size_t max_passed_over = 64;
 
 /// Spreads the searches of different steps over similar workers.
 std::size_t rotation_of(const step_id& step)
@@ -50,15 +50,23 @@
 } // namespace
 
 bool permit_requests::may_ask(
-    const waiting_step& step, instant now, const permit_request_budget& budget)
+    const waiting_step& step,
+    instant now,
+    const permit_request_budget& budget) const
 {
     const step_permits& permits = step.step->permits;
+    if (permits.request_in_flight || now < permits.retry_not_before)
+    {
+        return false;
+    }
     const policy_timing& timing = *step.queue->advice;
-    const bool always_long =
-        timing.base + timing.per_worker > budget.longest_short_request;
-    return !permits.request_in_flight && now >= permits.retry_not_before &&
-           (budget.long_requests > 0 ||
-            (budget.short_requests > 0 && !always_long));
+    const bool may_be_short =
+        answer_time(timing, 1) <= budget.longest_short_request;
+    const bool may_be_long =
+        answer_time(timing, settings_.max_workers_per_request) >
+        budget.longest_short_request;
+    return (may_be_long && budget.long_requests > 0) ||
+           (may_be_short && budget.short_requests + budget.first_requests > 0);
 }
 
 resources permit_requests::ending_use(
@@ -81,7 +89,7 @@
     std::uint32_t tasks,
     std::uint32_t turn)
 {
-    if (!may_ask(step, view.now, view.budget))
+    if (view.budget.is_spent(turn) || !may_ask(step, view.now, view.budget))
     {
         return false;
     }
@@ -94,9 +102,11 @@
     }
     const milliseconds expected =
         answer_time(*step.queue->advice, named.size());
-    std::size_t& left = expected > view.budget.longest_short_request
-                            ? view.budget.long_requests
-                            : view.budget.short_requests;
+    permit_request_budget& budget = view.budget;
+    std::size_t& left =
+        expected > budget.longest_short_request   ? budget.long_requests
+        : budget.short_requests == 0 && turn == 0 ? budget.first_requests
+                                                  : budget.short_requests;
     if (left == 0)
     {
         return false; // A later pass sends the request if it is still needed.
@@ -166,23 +176,27 @@
         named_workers fitting;
         named_workers& found = view.compares_speeds ? fitting : named;
         const std::size_t most = found.size() + wanted * view.choice_factor;
+        std::size_t passed_over = 0;
         free->visit(
             step.needs,
             [&](const impl::fit_index::candidate& each)
             {
                 ++view.examined;
                 const worker_entry* worker = view.workers.at(each.worker);
-                if (worker != nullptr &&
-                    !permits.denied.contains(each.worker) &&
+                if (worker == nullptr)
+                {
+                    return true;
+                }
+                const bool is_free = view.claims.has_room(*worker, step.needs);
+                passed_over += is_free ? 0 : 1;
+                named_workers& to = is_free ? found : contested;
+                if (to.size() < most && !permits.denied.contains(each.worker) &&
                     permits.find(each.worker) == nullptr &&
                     view.may_run(step, *worker))
                 {
-                    const bool is_free =
-                        view.claims.has_room(*worker, step.needs);
-                    (is_free ? found : contested).push_back(worker);
+                    to.push_back(worker);
                 }
-                return found.size() < most &&
-                       contested.size() < most + max_contested_compared;
+                return found.size() < most && passed_over < max_passed_over;
             },
             rotation_of(step.step->id));
         view.sort_by_speed(step, fitting);
--- a/src/fleet/permit_requests.hpp
+++ b/src/fleet/permit_requests.hpp
@@ -35,10 +35,19 @@
     std::size_t short_requests = 0;
     std::size_t long_requests = 0;
     milliseconds longest_short_request{0}; ///< By expected response time.
+    /// Further short requests, for accounts without an unanswered one.
+    std::size_t first_requests = 0;
 
     [[nodiscard]] bool is_spent() const noexcept
     {
-        return short_requests == 0 && long_requests == 0;
+        return short_requests == 0 && long_requests == 0 && first_requests == 0;
+    }
+    /// True if no request of an account with this many unanswered ones is
+    /// possible.
+    [[nodiscard]] bool is_spent(std::uint32_t unanswered) const noexcept
+    {
+        return short_requests == 0 && long_requests == 0 &&
+               (first_requests == 0 || unanswered > 0);
     }
 };
 
@@ -107,10 +116,10 @@
     }
 
     /// True if a request for the step may be made and the budget may allow it.
-    [[nodiscard]] static bool may_ask(
+    [[nodiscard]] bool may_ask(
         const waiting_step& step,
         instant now,
-        const permit_request_budget& budget);
+        const permit_request_budget& budget) const;
 
     /// What the account's runs, which use `use`, are expected to free until
     /// permits for the step, if asked for now, have to be used. `run_time`:
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -347,7 +347,7 @@
         pass.demand.promise(step, std::min(waiting, permits.requested_tasks));
         return;
     }
-    if (!permit_requests::may_ask(step, pass.now, pass.budget))
+    if (!permits_.may_ask(step, pass.now, pass.budget))
     {
         return;
     }
--- a/tests/fleet/advice_dispatcher_test.cpp
+++ b/tests/fleet/advice_dispatcher_test.cpp
@@ -68,6 +68,33 @@
     CHECK(at.delivered.size() == 3);
 }
 
+TEST_CASE("a backlog leaves a VM free for another account", "[advice]")
+{
+    fixture at;
+    for (const char* vm : {"a", "b", "c"})
+    {
+        at.request_question(vm);
+    }
+    for (std::uint32_t turn = 0; turn < 4; ++turn)
+    {
+        permit_request next = question("hot" + std::to_string(turn), 1, 10ms);
+        next.turn = turn + 1;
+        at.dispatcher.add(std::move(next));
+    }
+    CHECK(at.dispatcher.dispatch(at.now).empty());
+    CHECK(at.delivered.size() == 2);
+    CHECK(at.dispatcher.budget(at.now).short_requests == 1);
+    CHECK(at.dispatcher.budget(at.now).first_requests == 3);
+    at.dispatcher.add(question("quiet", 1, 10ms));
+    CHECK(at.dispatcher.dispatch(at.now).empty());
+    CHECK(at.delivered["c"] == std::vector<std::string>{"quiet"});
+    // A VM that has answered goes on with the backlog.
+    CHECK(at.dispatcher.finish(instance_id("a"), {job_id("hot0"), 0, 0}, 0));
+    at.request_question("a");
+    CHECK(at.dispatcher.dispatch(at.now).empty());
+    CHECK(at.delivered["a"] == std::vector<std::string>{"hot0", "hot2"});
+}
+
 TEST_CASE("the question of a restarted VM is delivered again", "[advice]")
 {
     fixture at;
