Tests: starting a VM twice ends its earlier process first

Cause: the soak kills a VM, kills it again before it is back, and so starts it twice. The second start replaced the process's config_watch, to which the owner of the first still referred. A trial printed the second start of a VM with an owner just before the fault.

Change: fleet_world::vm::start ends what runs. No check changes.

--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -393,6 +393,7 @@
 
 void fleet_world::vm::start()
 {
+    kill(); // A soak may start a VM twice; an owner refers to its process.
     fleet::leadership_settings leading;
     leading.vm = instance_id(name);
     leading.address = name + ":1";
