--- a/src/fleet/permit_demand.cpp
+++ b/src/fleet/permit_demand.cpp
@@ -1,43 +1,37 @@
 #include "fleet/permit_demand.hpp"
 
-#include <algorithm>
 #include <queue>
 #include <tuple>
 
 namespace acaciastile::fleet
 {
 
-void permit_demand::add(
-    waiting_step& step,
-    std::uint32_t tasks,
-    const resources& ending,
-    cap_check within_cap)
+std::uint32_t
+permit_demand::admitted(const entry& wanted, cap_check within_cap) const
 {
-    const resources before = account_of(step).promised - ending;
-    const auto admits = [&](std::uint32_t count) {
+    const waiting_step& step = *wanted.step;
+    const resources before = wanted.before + accounts_[wanted.account].asked;
+    const auto admits = [&](std::uint32_t count)
+    {
         return within_cap(
-            before + step.needs * static_cast<std::int64_t>(count));
+            step, before + step.needs * static_cast<std::int64_t>(count));
     };
-    if (!admits(tasks))
+    if (admits(wanted.tasks))
     {
-        if (step.spec->gang)
-        {
-            return;
-        }
-        // The largest number that the cap admits.
-        std::uint32_t admitted = 0;
-        while (admitted + 1 < tasks)
-        {
-            const std::uint32_t middle = admitted + (tasks - admitted) / 2;
-            (admits(middle) ? admitted : tasks) = middle;
-        }
-        tasks = admitted;
+        return wanted.tasks;
+    }
+    if (step.spec->gang)
+    {
+        return 0;
     }
-    if (tasks > 0)
+    std::uint32_t found = 0;
+    std::uint32_t too_many = wanted.tasks;
+    while (found + 1 < too_many)
     {
-        promise(step, tasks);
-        entries_.push_back({&step, step.job->account_index, tasks, none});
+        const std::uint32_t middle = found + (too_many - found) / 2;
+        (admits(middle) ? found : too_many) = middle;
     }
+    return found;
 }
 
 bool permit_demand::is_same_rank(
@@ -50,7 +44,8 @@
     return left.rank() == right.rank() && left.tight == right.tight;
 }
 
-void permit_demand::distribute(absl::FunctionRef<bool()> is_spent, request ask)
+void permit_demand::distribute(
+    absl::FunctionRef<bool()> is_spent, cap_check within_cap, request ask)
 {
     const auto count = static_cast<std::uint32_t>(entries_.size());
     for (std::uint32_t begin = 0; begin < count && !is_spent();)
@@ -61,7 +56,7 @@
         {
             ++end;
         }
-        distribute_rank(begin, end, is_spent, ask);
+        distribute_rank(begin, end, is_spent, within_cap, ask);
         begin = end;
     }
 }
@@ -70,6 +65,7 @@
     std::uint32_t begin,
     std::uint32_t end,
     absl::FunctionRef<bool()> is_spent,
+    cap_check within_cap,
     request ask)
 {
     /// Unanswered requests of an account, its next step, the account.
@@ -95,9 +91,12 @@
         const entry& next = entries_[account.first];
         turns.pop();
         account.first = next.next;
-        if (!is_spent() && ask(*next.step, next.tasks))
+        const std::uint32_t tasks = is_spent() ? 0 : admitted(next, within_cap);
+        if (tasks > 0 && ask(*next.step, tasks))
         {
             ++account.unanswered;
+            account.asked +=
+                next.step->needs * static_cast<std::int64_t>(tasks);
         }
         if (account.first != none && !is_spent())
         {
--- a/src/fleet/permit_demand.hpp
+++ b/src/fleet/permit_demand.hpp
@@ -18,7 +18,8 @@
 public:
     /// Returns true if the account of the step stays within its cap with
     /// `added`.
-    using cap_check = absl::FunctionRef<bool(const resources& added)>;
+    using cap_check = absl::FunctionRef<bool(
+        const waiting_step& step, const resources& added)>;
     /// Asks for permits for so many tasks of the step. Returns true if a
     /// request is sent.
     using request =
@@ -32,7 +33,8 @@
         ++account_of(step).unanswered;
     }
 
-    /// Counts the use of so many tasks that have permits or wait for them.
+    /// Counts the use of so many tasks that have permits or wait for them, for
+    /// the steps that are added later.
     void promise(const waiting_step& step, std::uint32_t tasks)
     {
         account_of(step).promised +=
@@ -40,21 +42,27 @@
     }
 
     /// Adds a step that needs permits for `tasks`, or for all of them if it is
-    /// a gang, and counts them as promised. `ending`: what the account's runs
-    /// are expected to free before the permits expire. Adds nothing if the cap
-    /// admits no task.
-    void
-    add(waiting_step& step,
-        std::uint32_t tasks,
-        const resources& ending,
-        cap_check within_cap);
+    /// a gang. `ending`: what the account's runs are expected to free before
+    /// the permits expire.
+    void add(waiting_step& step, std::uint32_t tasks, const resources& ending)
+    {
+        entries_.push_back(
+            {&step,
+             step.job->account_index,
+             tasks,
+             account_of(step).promised - ending,
+             none});
+    }
 
-    /// Asks for the added steps, those of higher rank first. Steps of one rank
-    /// take turns by account: the account with the fewest unanswered requests
-    /// comes first, then the planning order decides. What is out of time has
-    /// one rank, as no account's backlog may keep another's work waiting for
-    /// good. Ends when `is_spent` returns true.
-    void distribute(absl::FunctionRef<bool()> is_spent, request ask);
+    /// Asks for the added steps, those of higher rank first, as far as their
+    /// accounts' caps admit. A step that finds no worker to ask for holds up no
+    /// other one. Steps of one rank take
+    /// turns by account: the account with the fewest unanswered requests comes
+    /// first, then the planning order decides. What is out of time has one
+    /// rank, as no account's backlog may keep another's work waiting for good.
+    /// Ends when `is_spent` returns true.
+    void distribute(
+        absl::FunctionRef<bool()> is_spent, cap_check within_cap, request ask);
 
     /// Unanswered requests of the step's account.
     [[nodiscard]] std::uint32_t unanswered(const waiting_step& step) const
@@ -66,6 +74,7 @@
     struct account_state
     {
         resources promised;
+        resources asked; ///< By steps that have asked in this pass.
         std::uint32_t unanswered = 0;
         /// First and last added step of the rank that is being distributed.
         std::uint32_t first = none;
@@ -76,6 +85,8 @@
         waiting_step* step = nullptr;
         std::uint32_t account = 0;
         std::uint32_t tasks = 0;
+        /// Promised to earlier steps of the account, less what ends soon.
+        resources before;
         std::uint32_t next = none; ///< Of the same account and rank.
     };
 
@@ -87,10 +98,15 @@
     }
     [[nodiscard]] static bool
     is_same_rank(const waiting_step& left, const waiting_step& right);
+    /// The largest number of the entry's tasks that the cap admits; for a gang,
+    /// all or none.
+    [[nodiscard]] std::uint32_t
+    admitted(const entry& wanted, cap_check within_cap) const;
     void distribute_rank(
         std::uint32_t begin,
         std::uint32_t end,
         absl::FunctionRef<bool()> is_spent,
+        cap_check within_cap,
         request ask);
 
     std::vector<account_state> accounts_;
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -360,11 +360,7 @@
             pass.workers.used_by(step.account->name),
             run_times_.expect(step.job->job.queue, *step.spec));
     }
-    pass.demand.add(
-        step,
-        waiting,
-        ending,
-        [&](const resources& added) { return pass.within_cap(step, added); });
+    pass.demand.add(step, waiting, ending);
 }
 
 void planner::request_permits(planning_pass& pass)
@@ -393,6 +389,8 @@
         pass.decided.permit_requests};
     pass.demand.distribute(
         [&] { return view.budget.is_spent(); },
+        [&](const waiting_step& step, const resources& added)
+        { return pass.within_cap(step, added); },
         [&](waiting_step& step, std::uint32_t tasks) {
             return permits_.ask(
                 view, step, tasks, pass.demand.unanswered(step));
--- a/tests/fleet/permit_demand_test.cpp
+++ b/tests/fleet/permit_demand_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <map>
+#include <set>
 
 using namespace acaciastile;
 using namespace acaciastile::fleet;
@@ -21,6 +23,10 @@
     queue_settings queue;
     permit_demand demand{3};
     std::int64_t used = 0;
+    /// Of accounts that differ from `used`.
+    std::map<std::uint32_t, std::int64_t> used_by;
+    /// Steps for which there is no worker to ask.
+    std::set<const waiting_step*> unplaceable;
 
     demand_fixture() { gang_spec.gang = true; }
 
@@ -43,12 +49,7 @@
     void
     add(waiting_step& step, std::uint32_t tasks, const resources& ending = {})
     {
-        demand.add(
-            step,
-            tasks,
-            ending,
-            [&](const resources& added)
-            { return used + added.milli_processors <= 10'000; });
+        demand.add(step, tasks, ending);
     }
 
     /// Distributes `budget` requests and returns accounts and tasks, in order.
@@ -58,8 +59,19 @@
         std::vector<std::pair<std::uint32_t, std::uint32_t>> asked;
         demand.distribute(
             [&] { return asked.size() == budget; },
+            [&](const waiting_step& step, const resources& added)
+            {
+                const auto own = used_by.find(step.job->account_index);
+                return (own == used_by.end() ? used : own->second) +
+                           added.milli_processors <=
+                       10'000;
+            },
             [&](waiting_step& step, std::uint32_t tasks)
             {
+                if (unplaceable.contains(&step))
+                {
+                    return false;
+                }
                 asked.emplace_back(step.job->account_index, tasks);
                 return true;
             });
@@ -81,6 +93,20 @@
     CHECK(at.distribute(9) == asked_list{{0, 6}});
 }
 
+// Guards against an account whose work is not asked about as an earlier step
+// of it finds no worker.
+TEST_CASE("a step without a worker holds up no other one", "[permits]")
+{
+    demand_fixture at;
+    at.used = 4'000;
+    waiting_step& first = at.step_of(0);
+    at.unplaceable.insert(&first);
+    at.add(first, 20);
+    at.add(at.step_of(0), 4);
+    at.add(at.step_of(0), 4);
+    CHECK(at.distribute(9) == asked_list{{0, 4}, {0, 2}});
+}
+
 TEST_CASE("permits and requests of earlier steps count", "[permits]")
 {
     demand_fixture at;
@@ -98,7 +124,7 @@
     at.add(at.step_of(0), 5);
     at.add(at.step_of(1), 5, {2'500, 0, 0});
     // Over a cap that was lowered, what ends is not enough.
-    at.used = 13'000;
+    at.used_by[2] = 13'000;
     at.add(at.step_of(2), 5, {2'500, 0, 0});
     CHECK(at.distribute(9) == asked_list{{1, 2}});
 }
