--- a/tests/fleet/crash_evidence_test.cpp
+++ b/tests/fleet/crash_evidence_test.cpp
@@ -53,6 +53,16 @@
     return false;
 }
 
+/// Ends the owner's process without notice and starts it again.
+void kill_owner(fleet_world& world)
+{
+    fleet_world::vm* owner = world.owner_vm();
+    REQUIRE(owner != nullptr);
+    owner->kill();
+    world.run(300ms);
+    owner->start();
+}
+
 } // namespace
 
 // Guards against a job that is given up for workers that were cut off, ran on
@@ -135,11 +145,7 @@
         // It crashes while the order is on its way.
         world.workers.crash(worker_id("w0"));
         world.run(700ms);
-        fleet_world::vm* owner = world.owner_vm();
-        REQUIRE(owner != nullptr);
-        owner->kill();
-        world.run(300ms);
-        owner->start();
+        kill_owner(world);
     }
     CHECK(crashes_under(world, "a") == 0);
     REQUIRE(wait_for_start(world, "a", 1));
@@ -212,11 +218,7 @@
     world.run(500ms);
     if (kills_owner)
     {
-        fleet_world::vm* owner = world.owner_vm();
-        REQUIRE(owner != nullptr);
-        owner->kill();
-        world.run(300ms);
-        owner->start();
+        kill_owner(world);
     }
     world.run(1s);
     world.add_worker("w0~1");
@@ -242,11 +244,7 @@
     world.run(60s);
     if (kills_owner)
     {
-        fleet_world::vm* owner = world.owner_vm();
-        REQUIRE(owner != nullptr);
-        owner->kill();
-        world.run(300ms);
-        owner->start();
+        kill_owner(world);
         world.run(10s);
     }
     world.workers.crash(world.starts_of("a").back().worker);
