--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Requests may examine this part of what a pass may examine, beside it.
+constexpr std::size_t request_work_divisor = 4;
+
 /// True if no kind of resource exceeds its cap; zero means no limit.
 bool within_cap(const resources& wanted, const resources& cap)
 {
@@ -387,8 +390,12 @@
         pass.gang_places,
         pass.claims,
         pass.decided.permit_requests};
+    // Where few workers can be named, the budget is not spent and each step
+    // would be compared with all workers.
+    const std::size_t most_examined =
+        pass.examined + settings_.max_examined / request_work_divisor;
     pass.demand.distribute(
-        [&] { return view.budget.is_spent(); },
+        [&] { return view.budget.is_spent() || pass.examined > most_examined; },
         [&](const waiting_step& step, const resources& added)
         { return pass.within_cap(step, added); },
         [&](waiting_step& step, std::uint32_t tasks) {
