--- a/src/fleet/absent_worker_table.cpp
+++ b/src/fleet/absent_worker_table.cpp
@@ -25,12 +25,13 @@
         { return std::find(whole.begin(), whole.end(), each) != whole.end(); });
 }
 
-/// True if the recorded absence is of the same process and address and lists
-/// every run of the current one.
+/// True if the recorded absence is of the same process and address, tells the
+/// same of its draining and lists every run of the current one.
 bool covers(const absence_record& recorded, const absence_record& current)
 {
     return recorded.incarnation == current.incarnation &&
            recorded.address == current.address &&
+           recorded.announced_drain == current.announced_drain &&
            includes(recorded.runs, current.runs) &&
            includes(recorded.blamed, current.blamed);
 }
--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -27,13 +27,19 @@
     for (const auto& [id, absence] : noted)
     {
         worker_entry* worker = workers_.find(id);
+        // The registry tells nothing of a life that it does not list.
+        const bool may_have_left = absence.announced_drain.value_or(true);
         if (worker != nullptr &&
             worker->registration.incarnation > absence.incarnation)
         {
             // A restart has ended the recorded runs.
             for (const blamed_run& each : absence.blamed)
             {
-                count_crash(id, each, name_of(presumed_end::worker_restarted));
+                if (!may_have_left)
+                {
+                    count_crash(
+                        id, each, name_of(presumed_end::worker_restarted));
+                }
             }
             absences_.remove_absence(id);
             continue;
@@ -47,6 +53,11 @@
         {
             worker = &workers_.add_unlisted(
                 {id, absence.address, absence.incarnation}, registry_next_);
+            worker->announced_drain = may_have_left;
+        }
+        else if (absence.announced_drain.value_or(false))
+        {
+            worker->announced_drain = true;
         }
         workers_.set_unreachable(*worker, false, ports_.clock.now());
         worker->lease_expired_at = inherited_leases_end_;
@@ -197,11 +208,12 @@
         absence_record absence;
         absence.incarnation = worker.registration.incarnation;
         absence.address = worker.registration.address;
+        absence.announced_drain = worker.announced_drain;
         for (const auto& [id, run] : worker.runs)
         {
             absence.runs.emplace_back(id.task, id.run);
         }
-        if (!worker.reachable)
+        if (!worker.reachable && !worker.announced_drain)
         {
             absence.blamed = worker.lapsed_runs;
             for (const blamed_run& each : workers_.blame(worker))
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -325,11 +325,16 @@
             {to_json(each.run.task, each.run.run),
              static_cast<int>(each.blame)}));
     }
-    return to_msgpack_text(json::array(
+    json fields = json::array(
         {record.incarnation,
          record.address,
          std::move(runs),
-         std::move(blamed)}));
+         std::move(blamed)});
+    if (record.announced_drain)
+    {
+        fields.push_back(*record.announced_drain);
+    }
+    return to_msgpack_text(fields);
 }
 
 result<absence_record> decode_absence_record(std::string_view text)
@@ -355,6 +360,10 @@
                 record.blamed.push_back(
                     {run_from(row.at(0)), blame_from(row.at(1))});
             }
+            if (value.size() > 4)
+            {
+                record.announced_drain = value.at(4).get<bool>();
+            }
             return record;
         });
 }
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -52,6 +52,9 @@
     /// Runs, listed above or ended since, that are blamed if it turns out that
     /// the worker has crashed: those that are known to have been there.
     std::vector<blamed_run> blamed;
+    /// The worker had announced that it drains: then its end is no crash. Not
+    /// told by records of builds that did not note it.
+    std::optional<bool> announced_drain;
 
     /// What a crash says of a run; nothing if it may not have been there.
     [[nodiscard]] std::optional<crash_blame> blame_of(const run_ref& run) const;
--- a/tests/fleet/absent_worker_table_test.cpp
+++ b/tests/fleet/absent_worker_table_test.cpp
@@ -1,6 +1,7 @@
 #include "fleet/absent_worker_table.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace acaciastile;
 using fleet::absence_record;
@@ -68,3 +69,43 @@
         worker);
     CHECK_FALSE(absent_worker_table::worker_of("5c0e7a21d94b36f8").has_value());
 }
+
+TEST_CASE("records of absence are read across builds")
+{
+    absence_record absence = with_runs({1, 7});
+    absence.blamed.push_back(
+        {{absence.runs[0].first, 1}, fleet::crash_blame::late});
+    auto fields = nlohmann::json::from_msgpack(encode(absence));
+    CHECK(fields.size() == 4); // As of builds that did not note drains.
+    for (const bool drains : {false, true})
+    {
+        absence.announced_drain = drains;
+        const std::string encoded = encode(absence);
+        CHECK(fleet::decode_absence_record(encoded).value() == absence);
+        // Builds read the fields that they know by position.
+        auto later = nlohmann::json::from_msgpack(encoded);
+        later.push_back("of a later build");
+        std::string text;
+        nlohmann::json::to_msgpack(later, text);
+        CHECK(fleet::decode_absence_record(text).value() == absence);
+    }
+    fields.erase(3);
+    std::string text;
+    nlohmann::json::to_msgpack(fields, text);
+    const auto oldest = fleet::decode_absence_record(text);
+    REQUIRE(oldest.has_value());
+    CHECK(oldest->runs == absence.runs);
+    CHECK(oldest->blamed.empty());
+    CHECK_FALSE(oldest->announced_drain.has_value());
+}
+
+TEST_CASE("an absence is stored again once its worker has announced to drain")
+{
+    absent_worker_table absences;
+    absence_record absence = with_runs({1});
+    absence.announced_drain = false;
+    CHECK(absences.record_absence(worker, absence));
+    CHECK_FALSE(absences.record_absence(worker, absence));
+    absence.announced_drain = true;
+    CHECK(absences.record_absence(worker, absence));
+}
--- a/tests/fleet/crash_evidence_test.cpp
+++ b/tests/fleet/crash_evidence_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/absent_worker_table.hpp"
 #include "support/fleet_world.hpp"
 
 #include <algorithm>
@@ -199,7 +200,7 @@
 // had announced that it drains.
 TEST_CASE(
     "the departure of a draining worker is no crash for the next owner",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     const bool kills_owner = GENERATE(false, true);
     fleet_world world(2, 1);
@@ -228,6 +229,84 @@
     CHECK(world.events.count(event_number::crash_counted) == 0);
 }
 
+// Guards against a departure that counts as a crash as its worker had been
+// removed, but still answered when the owner changed.
+TEST_CASE(
+    "a draining worker that a new owner finds removed departs without a crash",
+    "[fleet]")
+{
+    const milliseconds leaves_after{GENERATE(0, 200, 2'000, 4'000)};
+    fleet_world world(2, 1);
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.run(5s);
+    world.submit("a", {tasks(1)});
+    REQUIRE(wait_for_start(world, "a", 1));
+    world.run(1s);
+    world.register_worker("w0", "draining");
+    world.run(3s);
+    world.store.put("registry", "w0", "");
+    world.run(1s);
+    kill_owner(world);
+    world.run(leaves_after);
+    world.workers.crash(worker_id("w0"));
+    world.run(1s);
+    world.add_worker("w0~1");
+    world.run(10s);
+    CAPTURE(leaves_after.count());
+    CHECK(world.events.count(event_number::worker_replaced) == 1);
+    CHECK(world.events.count(event_number::crash_counted) == 0);
+}
+
+// A worker that had not announced to drain has crashed, also for the next
+// owner. The record of an earlier build does not tell whether it had.
+TEST_CASE(
+    "a record of absence tells the next owner whether its worker may have left",
+    "[fleet]")
+{
+    const bool is_of_earlier_build = GENERATE(false, true);
+    const bool change_ids = GENERATE(false, true);
+    fleet_world world(2, 1);
+    world.crashes_change_ids = change_ids;
+    world.crash_recovery = 700ms;
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{20s, false};
+    };
+    world.run(5s);
+    world.submit("a", {tasks(1)});
+    REQUIRE(wait_for_start(world, "a", 1));
+    world.run(1s);
+    const std::string key = fleet::absent_worker_table::key_of(worker_id("w0"));
+    world.workers.crash(worker_id("w0"));
+    world.run(500ms);
+    const auto record = fleet::decode_absence_record(
+        world.store.newest(fleet::topics::progress, key));
+    REQUIRE(record);
+    CHECK(record->announced_drain == false);
+    CHECK(record->blamed.size() == 1);
+    if (change_ids)
+    {
+        world.store.put("registry", "w0", "");
+    }
+    fleet_world::vm* owner = world.owner_vm();
+    REQUIRE(owner != nullptr);
+    owner->kill();
+    if (is_of_earlier_build)
+    {
+        fleet::absence_record earlier = *record;
+        earlier.announced_drain.reset();
+        world.store.put(fleet::topics::progress, key, encode(earlier));
+    }
+    world.run(300ms);
+    owner->start();
+    world.run(10s);
+    CAPTURE(is_of_earlier_build, change_ids);
+    CHECK(
+        world.events.count(event_number::crash_counted) ==
+        (is_of_earlier_build ? 0 : 1));
+}
+
 // A lasting task that has gone on for long is not blamed for a crash, also if
 // its owner has changed shortly before.
 TEST_CASE("a lasting run is no younger for a new owner", "[fleet][known-red]")
