--- a/src/fleet/advice_dispatcher.cpp
+++ b/src/fleet/advice_dispatcher.cpp
@@ -125,10 +125,11 @@
         active_vms > settings_.vms_reserved_for_short
             ? active_vms - settings_.vms_reserved_for_short
             : 1;
+    // Of two VMs none is kept free: the other one may not reach the service.
     const std::size_t further_allowed =
-        active_vms > settings_.vms_reserved_for_first
+        active_vms > settings_.vms_reserved_for_first + 1
             ? active_vms - settings_.vms_reserved_for_first
-            : 1;
+            : std::max<std::size_t>(1, active_vms);
     for (auto question = waiting_.begin();
          question != waiting_.end() && !idle_vms_.empty();)
     {
--- a/src/fleet/advice_dispatcher.hpp
+++ b/src/fleet/advice_dispatcher.hpp
@@ -20,8 +20,8 @@
     /// need not wait for them. One long question is always allowed.
     std::size_t vms_reserved_for_short = 2;
     /// Number of VMs that are kept free of questions of accounts that have had
-    /// another one unanswered, so that a backlog leaves room for others. One
-    /// such question is always allowed.
+    /// another one unanswered, so that a backlog leaves room for others. Two
+    /// VMs are always left to such questions.
     std::size_t vms_reserved_for_first = 1;
     /// A question is overdue this long after twice its expected answer time.
     milliseconds answer_grace{900};
