--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -903,9 +903,12 @@
     const auto count = static_cast<std::int64_t>(step.step->tasks.size());
     if (!pass.within_cap(step, step.needs * count))
     {
-        if (step.requires_permits() && !step.step->permits.allowed.empty())
+        const step_permits& permits = step.step->permits;
+        if (step.requires_permits() && !permits.allowed.empty())
         {
-            step.note_wait(permit_wait::at_cap);
+            step.note_wait(
+                permits.has_usable(pass.now) ? permit_wait::at_cap
+                                             : permit_wait::expired);
         }
         return false;
     }
--- a/src/fleet/step_permits.cpp
+++ b/src/fleet/step_permits.cpp
@@ -16,6 +16,14 @@
     return at == allowed.end() || at->worker != worker ? nullptr : &*at;
 }
 
+bool step_permits::has_usable(instant now) const
+{
+    return std::any_of(
+        allowed.begin(),
+        allowed.end(),
+        [&](const grant& each) { return each.until > now; });
+}
+
 bool step_permits::allow(grant granted)
 {
     const auto at = std::lower_bound(
--- a/src/fleet/step_permits.hpp
+++ b/src/fleet/step_permits.hpp
@@ -69,6 +69,8 @@
     /// Adds or replaces the grant of its worker. Returns true if the worker was
     /// not allowed before.
     bool allow(grant granted);
+    /// Returns true if a grant has not expired.
+    [[nodiscard]] bool has_usable(instant now) const;
     /// Makes the worker's grant count as expired.
     void expire(worker_handle worker);
 };
