--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -356,7 +356,9 @@
     }
     // A gang is not asked for ahead: its members need room at the same time.
     resources ending;
-    if (step.has_cap() && !step.spec->gang)
+    // Nor is a step whose last permits could not be used: the room at the cap
+    // that was expected may not come.
+    if (step.has_cap() && !step.spec->gang && !permits.is_unused)
     {
         ending = permits_.ending_use(
             step,
