--- a/src/fleet/permit_demand.cpp
+++ b/src/fleet/permit_demand.cpp
@@ -68,7 +68,7 @@
     cap_check within_cap,
     request ask)
 {
-    /// Unanswered requests of an account, its next step, the account.
+    /// Turns that an account has had, its next step, the account.
     using turn = std::tuple<std::uint32_t, std::uint32_t, account_state*>;
     std::priority_queue<turn, std::vector<turn>, std::greater<>> turns;
     for (std::uint32_t at = begin; at < end; ++at)
@@ -77,7 +77,7 @@
         if (account.first == none)
         {
             account.first = at;
-            turns.emplace(account.unanswered, at, &account);
+            turns.emplace(account.unanswered + account.in_vain, at, &account);
         }
         else
         {
@@ -98,9 +98,14 @@
             account.asked +=
                 next.step->needs * static_cast<std::int64_t>(tasks);
         }
+        else if (tasks > 0)
+        {
+            ++account.in_vain;
+        }
         if (account.first != none && !is_spent())
         {
-            turns.emplace(account.unanswered, account.first, &account);
+            turns.emplace(
+                account.unanswered + account.in_vain, account.first, &account);
         }
         else
         {
--- a/src/fleet/permit_demand.hpp
+++ b/src/fleet/permit_demand.hpp
@@ -55,12 +55,12 @@
     }
 
     /// Asks for the added steps, those of higher rank first, as far as their
-    /// accounts' caps admit. A step that finds no worker to ask for holds up no
-    /// other one. Steps of one rank take
-    /// turns by account: the account with the fewest unanswered requests comes
-    /// first, then the planning order decides. What is out of time has one
-    /// rank, as no account's backlog may keep another's work waiting for good.
-    /// Ends when `is_spent` returns true.
+    /// accounts' caps admit. Steps of one rank take turns by account: the
+    /// account with the fewest unanswered requests comes first, then the
+    /// planning order decides. A step that finds no worker to ask for holds up
+    /// no other one; as its search is work all the same, it counts as a turn.
+    /// What is out of time has one rank, as no account's backlog may keep
+    /// another's work waiting for good. Ends when `is_spent` returns true.
     void distribute(
         absl::FunctionRef<bool()> is_spent, cap_check within_cap, request ask);
 
@@ -76,6 +76,7 @@
         resources promised;
         resources asked; ///< By steps that have asked in this pass.
         std::uint32_t unanswered = 0;
+        std::uint32_t in_vain = 0; ///< Searches of this pass for no worker.
         /// First and last added step of the rank that is being distributed.
         std::uint32_t first = none;
         std::uint32_t last = none;
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -350,14 +350,15 @@
         pass.demand.promise(step, std::min(waiting, permits.requested_tasks));
         return;
     }
-    if (!permits_.may_ask(step, pass.now, pass.budget))
+    if (!permits_.may_ask(step, pass.now, pass.budget) ||
+        permits.searched_in == search_round_)
     {
         return;
     }
     // A gang is not asked for ahead: its members need room at the same time.
-    resources ending;
     // Nor is a step whose last permits could not be used: the room at the cap
     // that was expected may not come.
+    resources ending;
     if (step.has_cap() && !step.spec->gang && !permits.is_unused)
     {
         ending = permits_.ending_use(
@@ -400,10 +401,17 @@
         [&] { return view.budget.is_spent() || pass.examined > most_examined; },
         [&](const waiting_step& step, const resources& added)
         { return pass.within_cap(step, added); },
-        [&](waiting_step& step, std::uint32_t tasks) {
-            return permits_.ask(
-                view, step, tasks, pass.demand.unanswered(step));
+        [&](waiting_step& step, std::uint32_t tasks)
+        {
+            const bool sent =
+                permits_.ask(view, step, tasks, pass.demand.unanswered(step));
+            step.step->permits.searched_in = sent ? 0 : search_round_;
+            return sent;
         });
+    if (pass.examined <= most_examined)
+    {
+        ++search_round_;
+    }
 }
 
 bool planner::below_worker_limit(
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -296,6 +296,9 @@
 
     planner_settings settings_;
     permit_requests permits_;
+    /// Passes of one round together search workers once for every step that
+    /// needs permits: a pass that ends early is continued by the next one.
+    std::uint64_t search_round_ = 1;
     run_time_estimates run_times_;
     worker_speeds speeds_;
     /// Workers reserved for each gang until all its members fit.
--- a/src/fleet/step_permits.hpp
+++ b/src/fleet/step_permits.hpp
@@ -60,17 +60,20 @@
     instant retry_not_before{}; ///< Set when a request has failed.
     /// Number of tasks that the last request was meant for.
     std::uint32_t requested_tasks = 0;
+    /// The round of searches in which no worker was found to ask for; zero if
+    /// the last search found one.
+    std::uint64_t searched_in = 0;
     /// Workers of the request in flight.
     std::vector<worker_handle> requested_workers;
     /// The last answer allowed a worker, and no task has started since.
     bool is_unused = false;
 
     [[nodiscard]] const grant* find(worker_handle worker) const;
+    /// Returns true if a grant has not expired.
+    [[nodiscard]] bool has_usable(instant now) const;
     /// Adds or replaces the grant of its worker. Returns true if the worker was
     /// not allowed before.
     bool allow(grant granted);
-    /// Returns true if a grant has not expired.
-    [[nodiscard]] bool has_usable(instant now) const;
     /// Makes the worker's grant count as expired.
     void expire(worker_handle worker);
 };
