--- a/review/standin/executor.cpp
+++ b/review/standin/executor.cpp
@@ -44,7 +44,7 @@
 {
     ++life_;
     born_at_ = world_.now();
-    born_ = world::wall();
+    born_ = world::wall() + time_of_day_off_ms_;
     token_ = 0;
     lease_ = 0;
     beats_ = 0;
@@ -108,7 +108,7 @@
         {"coldLeftMs", 0},
         {"capacity",
          {{"cpu", settings_.cpu}, {"memMb", settings_.mem_mb}, {"gpu", 0}}},
-        {"labels", {"a", settings_.rack}},
+        {"labels", {settings_.kind, settings_.rack}},
         {"clockMs", clock()},
         {"born", born_},
         {"seqNo", ++beats_}};
@@ -174,6 +174,9 @@
     const json body = json::parse(request.body(), nullptr, false);
     if (!body.is_object())
     {
+        world_.note(
+            "executor " + settings_.id + " cannot read the body of " + target +
+            ": " + request.body());
         respond(reply(400, json::object()));
         return;
     }
@@ -182,6 +185,28 @@
     {
         return; // Lost on the way; nothing is answered.
     }
+    if (const std::int64_t delay = group_.late(); delay > 0)
+    {
+        world_.after(
+            delay,
+            [this, target, body, life = life_]
+            {
+                if (life == life_)
+                {
+                    carry_out(target, body, [](const net::http_response&) {});
+                }
+            });
+        return;
+    }
+    carry_out(target, body, respond);
+}
+
+void executor::carry_out(
+    const std::string& target,
+    const json& body,
+    const net::http_responder& respond)
+{
+    const auto token = body.value("fenceToken", std::uint64_t{0});
     if (token < token_)
     {
         respond(reply(409, {{"clockMs", clock()}, {"reason", "fence"}}));
--- a/review/standin/executor.hpp
+++ b/review/standin/executor.hpp
@@ -28,6 +28,7 @@
     std::string id;
     std::string service;
     std::string zone = "zone-1";
+    std::string kind = "a";
     std::string rack = "r1-1";
     std::int64_t cpu = 16'000;
     std::int64_t mem_mb = 65'536;
@@ -54,6 +55,10 @@
     std::vector<executor*> all;
     std::function<void(const run_event&)> on_event;
 
+    /// If it returns more than zero, a call gets no answer and is carried out
+    /// after that time.
+    std::function<std::int64_t()> late = [] { return std::int64_t{0}; };
+
     std::int64_t max_hold_ms = 6'000;
     std::int64_t gang_timeout_ms = 3'000;
     std::int64_t checkpoint_ms = 500;
@@ -80,6 +85,9 @@
     [[nodiscard]] std::size_t running() const { return runs_.size(); }
     [[nodiscard]] bool runs(const std::string& task) const;
 
+    /// Sets the time of day of its machine ahead or back.
+    void step_clock(std::int64_t by_ms) { time_of_day_off_ms_ += by_ms; }
+
     /// If set, only calls with this token arrive; others are lost on the way.
     std::optional<std::uint64_t> reachable_with;
     [[nodiscard]] std::uint64_t token() const { return token_; }
@@ -110,6 +118,10 @@
     using key = std::pair<std::string, std::uint64_t>;
 
     void handle(net::http_request request, net::http_responder respond);
+    void carry_out(
+        const std::string& target,
+        const json& body,
+        const net::http_responder& respond);
     void start_run(const json& body, const net::http_responder& respond);
     void stop_run(const json& body, const net::http_responder& respond);
     void hold(const json& body, const net::http_responder& respond);
@@ -138,6 +150,7 @@
     std::uint64_t life_ = 0;
     std::int64_t born_at_ = 0;
     std::int64_t born_ = 0;
+    std::int64_t time_of_day_off_ms_ = 0;
     std::uint64_t beats_ = 0;
     std::uint64_t token_ = 0;
     std::int64_t lease_ = 0;
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -17,9 +17,9 @@
 
 constexpr named_scenario scenarios[] = {
     {"crashes", review::scenario_crashes},
-    {"gang", review::scenario_gang},
     {"partition", review::scenario_partition},
     {"lasting", review::scenario_lasting},
+    {"no_spec", review::scenario_no_spec},
     {"large_gang", review::scenario_large_gang},
 };
 
