--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -103,15 +103,16 @@
     {
     }
 
-    /// POST with the job, or GET or DELETE. `done` gets the status, zero if
-    /// there was no answer, and the body.
+    /// POST with the job, or GET or DELETE. Is sent again, twice at the most,
+    /// if there is no answer. `then` gets the status, zero if there was none,
+    /// and the body.
     void call(
         const edge_vm& vm,
         const std::string& method,
         const std::string& id,
         const json& body,
         done then,
-        std::int64_t deadline_ms = 3'000);
+        int tries_left = 2);
 
 private:
     world& world_;
