--- a/review/standin/executor.cpp
+++ b/review/standin/executor.cpp
@@ -19,6 +19,40 @@
 
 } // namespace
 
+std::int64_t longest_overlap(const executor_group& group, std::int64_t now)
+{
+    struct span
+    {
+        std::int64_t from = 0;
+        std::int64_t to = 0;
+    };
+    std::map<std::pair<std::string, std::uint64_t>, span> runs;
+    for (const run_event& each : group.events)
+    {
+        span& run = runs[{each.task, each.run}];
+        (each.started ? run.from : run.to) = each.at;
+        if (each.started)
+        {
+            run.to = now;
+        }
+    }
+    std::int64_t longest = 0;
+    for (auto left = runs.begin(); left != runs.end(); ++left)
+    {
+        for (auto right = std::next(left); right != runs.end(); ++right)
+        {
+            if (left->first.first == right->first.first)
+            {
+                longest = std::max(
+                    longest,
+                    std::min(left->second.to, right->second.to) -
+                        std::max(left->second.from, right->second.from));
+            }
+        }
+    }
+    return longest;
+}
+
 executor::executor(
     world& in,
     store& registry,
@@ -58,7 +92,15 @@
         { handle(std::move(request), std::move(respond)); });
     world_.note(
         "executor " + settings_.id + " is up, life " + std::to_string(life_));
-    beat();
+    world_.after(
+        group_.first_beat_ms,
+        [this, life = life_]
+        {
+            if (life == life_)
+            {
+                beat();
+            }
+        });
     tick();
 }
 
@@ -185,13 +227,17 @@
     {
         return; // Lost on the way; nothing is answered.
     }
-    if (const std::int64_t delay = group_.late(); delay > 0)
+    if (const std::int64_t delay = group_.late(settings_.id, target); delay > 0)
     {
+        world_.note(
+            "a call of " + target + " to executor " + settings_.id +
+            " gets no answer and is carried out " + std::to_string(delay) +
+            " ms later");
         world_.after(
             delay,
-            [this, target, body, life = life_]
+            [this, target, body]
             {
-                if (life == life_)
+                if (is_up())
                 {
                     carry_out(target, body, [](const net::http_response&) {});
                 }
--- a/review/standin/executor.hpp
+++ b/review/standin/executor.hpp
@@ -35,6 +35,11 @@
 };
 
 class executor;
+struct executor_group;
+
+/// Longest time up to `now` that two runs of one task were there at once.
+[[nodiscard]] std::int64_t
+longest_overlap(const executor_group& group, std::int64_t now);
 
 /// What all executors share: behaviour of tasks, gangs and the events.
 struct executor_group
@@ -55,9 +60,15 @@
     std::vector<executor*> all;
     std::function<void(const run_event&)> on_event;
 
-    /// If it returns more than zero, a call gets no answer and is carried out
-    /// after that time.
-    std::function<std::int64_t()> late = [] { return std::int64_t{0}; };
+    /// If it returns more than zero, a call to this executor gets no answer
+    /// and is carried out after that time, by whichever life is there then.
+    std::function<std::int64_t(
+        const std::string& executor, const std::string& target)>
+        late = [](const std::string&, const std::string&)
+    { return std::int64_t{0}; };
+    /// From the start of a life to its first entry in the registry; the page
+    /// says that an executor writes there about every `heartbeatMs`.
+    std::int64_t first_beat_ms = 0;
 
     std::int64_t max_hold_ms = 6'000;
     std::int64_t gang_timeout_ms = 3'000;
--- a/review/standin/partition.cpp
+++ b/review/standin/partition.cpp
@@ -16,41 +16,6 @@
 constexpr std::int64_t cut_ms = 10'000;
 const std::string job_id = "00000000000000b1";
 
-/// Longest time that two runs of a task were there at once.
-std::int64_t longest_overlap(const executor_group& group, std::int64_t now)
-{
-    struct span
-    {
-        std::int64_t from = 0;
-        std::int64_t to = 0;
-    };
-    std::map<std::pair<std::string, std::uint64_t>, span> runs;
-    for (const run_event& each : group.events)
-    {
-        span& run = runs[{each.task, each.run}];
-        (each.started ? run.from : run.to) = each.at;
-        if (each.started)
-        {
-            run.to = now;
-        }
-    }
-    std::int64_t longest = 0;
-    for (auto left = runs.begin(); left != runs.end(); ++left)
-    {
-        for (auto right = std::next(left); right != runs.end(); ++right)
-        {
-            if (left->first.first == right->first.first)
-            {
-                longest = std::max(
-                    longest,
-                    std::min(left->second.to, right->second.to) -
-                        std::max(left->second.from, right->second.from));
-            }
-        }
-    }
-    return longest;
-}
-
 } // namespace
 
 /// A partition with the VM that owns the fleet and one executor on one side,
--- a/review/standin/site.hpp
+++ b/review/standin/site.hpp
@@ -60,10 +60,10 @@
 
 using scenario = void (*)(site&);
 
-void scenario_crashes(site& at);
 void scenario_partition(site& at);
 void scenario_lasting(site& at);
 void scenario_no_spec(site& at);
+void scenario_late_order(site& at);
 void scenario_large_gang(site& at);
 
 } // namespace review
