Review: the partition is withdrawn, and the large gang is judged by starts alone

The partition cuts an executor off for longer than the site files do, so it is no case; the others move up. The case of the large gang counted a job that was started and had not ended, which the rule does not.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A partition cuts the owner and one executor off from the store and the rest.
+# The owner is killed, then a job without a taskSpec comes.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 # With TROUBLE=0 it does the same without the disruption.
 set -uo pipefail
@@ -13,7 +13,7 @@
 fi
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-"$standin" partition "$program" "$folder" "$here/record.txt" &
+"$standin" no_spec "$program" "$folder" "$here/record.txt" &
 standin_pid=$!
 trap 'kill -TERM "$standin_pid" 2>/dev/null' TERM INT
 wait "$standin_pid"
--- a/review/standin/large_gang.cpp
+++ b/review/standin/large_gang.cpp
@@ -28,6 +28,15 @@
     return "00000000000000e" + std::to_string(number);
 }
 
+bool was_started(const site& at, const std::string& id)
+{
+    return std::any_of(
+        at.group.events.begin(),
+        at.group.events.end(),
+        [&](const run_event& each)
+        { return each.started && each.task.rfind(id, 0) == 0; });
+}
+
 json job_of(json step)
 {
     return {{"taskSpec", "work"}, {"steps", json::array({std::move(step)})}};
@@ -122,17 +131,19 @@
                                 at.await_end(
                                     small_id(n),
                                     at.in.now() + patience_ms,
-                                    [&at, left, lost](const std::string& state)
+                                    [&at, n, left, lost](const std::string&)
                                     {
-                                        *lost += state == "completed" ? 0 : 1;
+                                        *lost += was_started(at, small_id(n))
+                                                     ? 0
+                                                     : 1;
                                         if (--*left == 0)
                                         {
                                             at.finish(
                                                 *lost > 0 ? outcome::broken
                                                           : outcome::held,
                                                 std::to_string(*lost) +
-                                                    " small jobs have not "
-                                                    "ended");
+                                                    " small jobs were "
+                                                    "never started");
                                         }
                                     });
                             });
