--- a/tests/site/worker_client_test.cpp
+++ b/tests/site/worker_client_test.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <limits>
+#include <nlohmann/json.hpp>
 #include <optional>
 
 using namespace acaciastile;
@@ -76,16 +78,24 @@
         listen();
     }
 
-    result<fleet::start_answer> start()
+    [[nodiscard]] static fleet::start_order plain_order()
     {
-        std::optional<result<fleet::start_answer>> outcome;
         fleet::start_order order;
         order.task = {{job_id("a"), 0, 0}, 0};
         order.run = 1;
+        return order;
+    }
+
+    result<fleet::start_answer> start(
+        const fleet::start_order& order = plain_order(),
+        std::uint64_t token = 7,
+        worker_instant lease = worker_instant(5s))
+    {
+        std::optional<result<fleet::start_answer>> outcome;
         workers.start(
             {worker_id("w0"), address.str(), 1},
-            7,
-            worker_instant(5s),
+            token,
+            lease,
             order,
             [&](result<fleet::start_answer> told)
             { outcome = std::move(told); });
@@ -291,3 +301,49 @@
     CHECK(unanswered.error().effect == verdict::not_run);
     CHECK(at.starts.empty());
 }
+
+// Guards against a job that never starts: the first start order of a process
+// whose payload was empty was no JSON, and each worker rejected it (review/1).
+TEST_CASE("each start order of a process is JSON with its fields", "[site]")
+{
+    using nlohmann::json;
+    const std::string large(4'000, '"');
+    const std::string odd = "\"\\\n\x01\u00fc{}";
+    const auto fields = GENERATE_COPY(
+        std::vector<std::string>{"", "", ""},
+        std::vector<std::string>{odd, odd, odd},
+        std::vector<std::string>{large, large, large});
+    const bool is_largest = GENERATE(false, true);
+    CAPTURE(fields, is_largest);
+    fleet::start_order order = fixture::plain_order();
+    order.payload = fields[0];
+    order.checkpoint = fields[1];
+    order.permit = fields[2];
+    std::uint64_t token = 0;
+    worker_instant lease{};
+    if (is_largest)
+    {
+        constexpr auto most = std::numeric_limits<std::uint32_t>::max();
+        order.task = {{job_id("ffffffffffffffff"), most, most}, most};
+        order.run = std::numeric_limits<fleet::run_number>::max();
+        token = std::numeric_limits<std::uint64_t>::max();
+        lease = worker_instant::max();
+    }
+    fixture at;
+    // The second order has the payload of the first, the third another one.
+    for (const std::string& payload :
+         {order.payload, order.payload, std::string("other"), order.payload})
+    {
+        order.payload = payload;
+        REQUIRE(at.start(order, token, lease).has_value());
+        INFO(at.starts.back());
+        const json sent = json::parse(at.starts.back(), nullptr, false);
+        REQUIRE(sent.is_object());
+        CHECK(sent.at("taskSpec") == payload);
+        CHECK(sent.at("runId") == order.run);
+        CHECK(sent.at("fenceToken") == token);
+        CHECK(sent.at("expiresMs") == lease.time_since_epoch().count());
+        CHECK(sent.value("checkpoint", "") == order.checkpoint);
+        CHECK(sent.value("ticket", "") == order.permit);
+    }
+}
