--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -4,6 +4,7 @@
 #include "fleet/name_table.hpp"
 #include "fleet/ports.hpp"
 #include "fleet/records.hpp"
+#include "fleet/rejected_orders.hpp"
 #include "fleet/step_permits.hpp"
 #include "fleet/worker_set.hpp"
 
@@ -65,6 +66,7 @@
     std::vector<run_number> failed_gang_runs;
     instant opened{}; ///< When its occurrence was created.
     step_permits permits;
+    rejected_orders rejections;
     urgency_limits limits; ///< Computed when `limits_valid_until` has passed.
     instant limits_valid_until{};
 };
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -120,7 +120,7 @@
     /// sends its answer: the assumed network latency of that answer.
     milliseconds permit_transit_time{20};
     /// How long a worker gets no starts after it refused one as unhealthy, for
-    /// lack of room or as malformed.
+    /// lack of room or, if no other worker did so, as malformed.
     milliseconds refused_start_pause{400};
     /// Other VMs request work every 0.7 s. An owner that has had such requests
     /// gives up ownership when none arrives for this long.
@@ -374,6 +374,10 @@
         const start_decision& decision,
         worker_entry& worker,
         start_refusal reason);
+    /// Handles the refusal of a start order as malformed: pauses the worker, or
+    /// the step if its orders are at fault.
+    void
+    on_start_malformed(const start_decision& decision, worker_entry& worker);
     /// Logs a refusal. `unanswered_copy`: an earlier copy of the order was sent
     /// without a response.
     void report_refusal(
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -119,6 +119,10 @@
     {
         // Also if the run is not known any more: it has started.
         jobs_.confirm_start(decision.task.step.job);
+        if (step_entry* step = jobs_.find(decision.task.step))
+        {
+            step->rejections.clear();
+        }
     }
     if (answer ? !answer->unanswered_copy
                : answer.error().effect == verdict::not_run)
@@ -327,9 +331,11 @@
         return;
     case start_refusal::no_room:
     case start_refusal::unhealthy:
-    case start_refusal::malformed:
         worker.quarantined_until = now + settings_.refused_start_pause;
         return;
+    case start_refusal::malformed:
+        on_start_malformed(decision, worker);
+        return;
     case start_refusal::other_incarnation:
         suspect_restart(worker);
         return;
@@ -339,4 +345,31 @@
     }
 }
 
+void fleet_owner::on_start_malformed(
+    const start_decision& decision, worker_entry& worker)
+{
+    step_entry* step = jobs_.find(decision.task.step);
+    if (step == nullptr)
+    {
+        return;
+    }
+    const instant now = ports_.clock.now();
+    rejected_orders& rejections = step->rejections;
+    if (rejections.note(worker.handle, settings_.refused_start_pause, now))
+    {
+        ports_.metrics.count("fleet_steps_rejected", "", 1);
+        ports_.events.emit(
+            {event_number::step_rejected,
+             {{"job", decision.task.step.job.str()},
+              {"task", text_of(decision.task)},
+              {"worker", decision.worker.str()},
+              {"pauses", std::to_string(rejections.pauses())},
+              {"pause_ms", text_of(rejections.pause())}}});
+    }
+    if (!rejections.are_orders_wrong())
+    {
+        worker.quarantined_until = now + settings_.refused_start_pause;
+    }
+}
+
 } // namespace acaciastile::fleet
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -218,7 +218,8 @@
         {
             for (step_entry& step : steps)
             {
-                if (step.waiting == 0 || !pass.jobs.is_ready(*job, step))
+                if (step.waiting == 0 || step.rejections.is_paused(pass.now) ||
+                    !pass.jobs.is_ready(*job, step))
                 {
                     continue;
                 }
--- a/src/standin/worker_pool.cpp
+++ b/src/standin/worker_pool.cpp
@@ -416,6 +416,11 @@
         answer.refusal = start_refusal::unhealthy;
         return answer;
     }
+    if (rejects && rejects(worker.about.id, order))
+    {
+        answer.refusal = start_refusal::malformed;
+        return answer;
+    }
     if (token < worker.token)
     {
         answer.refusal = start_refusal::fenced;
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -119,6 +119,9 @@
     /// Returns true if a start order carries a valid permit. By default every
     /// order does.
     std::function<bool(const worker_id&, const fleet::start_order&)> permitted;
+    /// Returns true if a worker rejects a start order as malformed. By default
+    /// none does.
+    std::function<bool(const worker_id&, const fleet::start_order&)> rejects;
 
     [[nodiscard]] const std::vector<worker_event>& events() const noexcept
     {
