--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -164,6 +164,7 @@
 };
 
 class run_list_text;
+struct registry_history;
 
 /// Schedules the whole fleet while this VM owns it: tracks accepted jobs and
 /// registered workers, starts and stops runs, processes their ends and stores
@@ -278,6 +279,11 @@
     /// Handles an entry of the registry that cannot be used. A worker that is
     /// known under its key keeps its last readable registration.
     void refuse_registration(const store_record& record, const error& fault);
+    /// Finds the workers whose newest entry in the registry cannot be read, as
+    /// another system has replaced it: a worker may still be there with runs of
+    /// an earlier owner.
+    void restore_replaced_registrations(
+        const store_page& registry, registry_history& history);
     /// Logs and counts an entry of the registry that cannot be used.
     void
     report_refused_registration(const store_record& record, const error& fault);
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -7,9 +7,6 @@
 namespace acaciastile::fleet
 {
 
-namespace
-{
-
 /// A registration that was removed.
 struct expired_registration
 {
@@ -36,6 +33,9 @@
     std::map<worker_id, worker_registration> latest;
 };
 
+namespace
+{
+
 void add_expired_registrations(
     registry_history& to,
     const store_page& page,
@@ -132,6 +132,34 @@
 
 } // namespace
 
+void fleet_owner::restore_replaced_registrations(
+    const store_page& registry, registry_history& history)
+{
+    for (const store_record& record : registry.records)
+    {
+        const worker_id id(record.key);
+        if (record.value.empty() || workers_.find(id) != nullptr ||
+            history.expired.contains(id))
+        {
+            continue;
+        }
+        if (const auto known = history.latest.find(id);
+            known != history.latest.end())
+        {
+            register_worker(known->second, record.offset);
+        }
+        else if (
+            record.offset >= history.from &&
+            record.key.size() <= max_worker_id_bytes)
+        {
+            // Its earlier entries are not known. The entry of a worker that
+            // lives is replaced by its own before the history ends.
+            history.expired.emplace(
+                id, expired_registration{record.offset, std::nullopt});
+        }
+    }
+}
+
 /// State that a new owner reads from the store. The reads run concurrently,
 /// except that `progress` is read after the fence is stored and the history of
 /// the registry after its newest records, again if it has to go further back.
@@ -323,6 +351,7 @@
     {
         apply_registration(record);
     }
+    restore_replaced_registrations(*read->registry, *read->history);
     for (const auto& [id, registration] : read->history->latest)
     {
         worker_entry* worker = workers_.find(id);
--- a/src/fleet/owner_registry.cpp
+++ b/src/fleet/owner_registry.cpp
@@ -66,6 +66,14 @@
     const store_record& record, const error& fault)
 {
     report_refused_registration(record, fault);
+    const worker_id id(record.key);
+    if (loaded_ && workers_.find(id) == nullptr &&
+        record.key.size() <= max_worker_id_bytes)
+    {
+        // Tells a successor, once earlier leases have ended, that nothing runs
+        // there: it cannot tell the key from that of a worker.
+        expired_registrations_.emplace(id, record.offset);
+    }
 }
 
 void fleet_owner::report_refused_registration(
