--- a/src/cell/member_message.cpp
+++ b/src/cell/member_message.cpp
@@ -1,5 +1,7 @@
 #include "cell/member_message.hpp"
 
+#include "codec/json_text.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -180,8 +182,12 @@
 auto decode(const std::string& body, Read read)
     -> result<decltype(read(std::declval<array_reader&>()))>
 {
-    const json value = json::from_msgpack(body, true, false);
-    array_reader in(value);
+    const auto value = parse_msgpack(body);
+    if (!value)
+    {
+        return tl::unexpected(value.error());
+    }
+    array_reader in(*value);
     auto message = read(in);
     if (!in.good())
     {
--- a/tests/cell/membership_test.cpp
+++ b/tests/cell/membership_test.cpp
@@ -358,3 +358,14 @@
     CHECK_FALSE(decode_ping("").has_value());
     CHECK_FALSE(decode_ping("\x90").has_value());
 }
+
+// Guards against a process that ends: the library that reads the body calls
+// itself for each level of nesting.
+TEST_CASE("a membership message that nests deeply is malformed", "[membership]")
+{
+    const std::string list_of_one(1'000'000, '\x91');
+    CHECK_FALSE(impl::decode_ping(list_of_one).has_value());
+    CHECK_FALSE(impl::decode_probe(list_of_one).has_value());
+    CHECK_FALSE(impl::decode_sync_request(list_of_one).has_value());
+    CHECK_FALSE(impl::decode_sync_reply(list_of_one).has_value());
+}
