--- a/tests/fleet/odd_registrations_test.cpp
+++ b/tests/fleet/odd_registrations_test.cpp
@@ -84,8 +84,7 @@
 // Guards against a task that runs twice: another system had replaced the entry
 // of a worker with runs, so that a new owner did not know of the worker and
 // started its tasks elsewhere.
-TEST_CASE(
-    "a new owner knows of a worker whose entry cannot be read", "[fleet]")
+TEST_CASE("a new owner knows of a worker whose entry cannot be read", "[fleet]")
 {
     const bool is_silent = GENERATE(false, true);
     // More records than a new owner reads of the registry's history.
