--- a/tests/fleet/planner_test.cpp
+++ b/tests/fleet/planner_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/planner.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace acaciastile;
@@ -292,3 +293,61 @@
     REQUIRE(third.permit_requests.size() == 1);
     CHECK(third.permit_requests.front().workers.front() != allowed);
 }
+
+// Guards against room that does not exist: another system has registered a
+// worker that never answers, with the most that an entry may hold.
+TEST_CASE("a worker that has never answered takes part in no decision")
+{
+    planner_fixture fixture(4);
+    worker_registration ghost;
+    ghost.id = worker_id("ghost");
+    ghost.service = service_name("svc");
+    ghost.capacity = {std::int64_t{1} << 30U, std::int64_t{1} << 30U, 0};
+    fixture.workers.upsert(ghost);
+    SECTION("no permit is asked for there")
+    {
+        fixture.submit("tasks", 20);
+        fixture.submit("gang", 8, true);
+        const plan decided = fixture.decide();
+        REQUIRE_FALSE(decided.permit_requests.empty());
+        for (const permit_request& request : decided.permit_requests)
+        {
+            const auto& named = request.workers;
+            CHECK(
+                std::find(named.begin(), named.end(), ghost.id) == named.end());
+        }
+    }
+    queue_settings queue = fixture.config.queues().front();
+    queue.advice.reset();
+    fixture.config = configuration(1, {queue}, fixture.config.accounts(), {});
+    SECTION("no task starts there, and none counts on it")
+    {
+        fixture.submit("tasks", 20);
+        const plan decided = fixture.decide();
+        CHECK(decided.starts.size() == 8); // All that the others hold.
+        for (const start_decision& start : decided.starts)
+        {
+            CHECK(start.worker != ghost.id);
+        }
+    }
+    SECTION("a gang that fits only there reserves nothing")
+    {
+        const step_id gang =
+            fixture.submit("gang", 16, true).occurrences[0][0].id;
+        fixture.now += 10ms;
+        fixture.submit("tasks", 8);
+        const plan decided = fixture.decide();
+        CHECK_FALSE(fixture.decider.has_reservation(gang));
+        CHECK(decided.starts.size() == 8);
+    }
+    SECTION("a gang that fits on the others starts there")
+    {
+        fixture.submit("gang", 8, true);
+        const plan decided = fixture.decide();
+        REQUIRE(decided.starts.size() == 8);
+        for (const start_decision& start : decided.starts)
+        {
+            CHECK(start.worker != ghost.id);
+        }
+    }
+}
--- a/tests/site/worker_client_test.cpp
+++ b/tests/site/worker_client_test.cpp
@@ -372,3 +372,35 @@
         CHECK_FALSE(refused->clock.has_value());
     }
 }
+
+// As above, for the answers of the policy service.
+TEST_CASE(
+    "an answer of the policy service with odd fields ends nothing", "[site]")
+{
+    const std::string deep =
+        std::string(100'000, '[') + std::string(100'000, ']');
+    for (const std::string& body :
+         {std::string(R"({"validMs":"x","allowed":[]})"),
+          std::string(R"({"validMs":1e300,"allowed":[["w0","t"]]})"),
+          std::string(R"({"validMs":5,"allowed":7})"),
+          "{\"validMs\":" + deep + "}",
+          deep})
+    {
+        INFO(body.substr(0, 40));
+        fixture at;
+        at.answer = [&](const net::http_responder& respond)
+        { respond(reply(200, body)); };
+        site::policy_client policy(at.http, at.address);
+        std::optional<result<fleet::permits>> outcome;
+        policy.ask(
+            {job_id("a"), 0, 0},
+            {worker_id("w0")},
+            10s,
+            [&](result<fleet::permits> told) { outcome = std::move(told); });
+        while (!outcome)
+        {
+            at.loop.run_one();
+        }
+        CHECK_FALSE(outcome->has_value());
+    }
+}
