--- a/tests/site/foreign_values_test.cpp
+++ b/tests/site/foreign_values_test.cpp
@@ -1,7 +1,8 @@
+#include "platform/answer_codec.hpp"
 #include "platform/edge_settings.hpp"
-#include "platform/json_fields.hpp"
 #include "platform/message_codec.hpp"
-#include "platform/worker_codec.hpp"
+#include "platform/registration_codec.hpp"
+#include "platform/worker_status_codec.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -135,6 +136,7 @@
 {
     for (const char* body :
          {R"({"born":1e300})",
+          R"({"born":18446744073709551615})",
           R"({"born":1.5})",
           R"({"clockMs":1e300})",
           R"({"clockMs":-1})",
--- a/tests/site/message_codec_test.cpp
+++ b/tests/site/message_codec_test.cpp
@@ -1,7 +1,7 @@
 #include "platform/edge_settings.hpp"
 #include "platform/message_codec.hpp"
 #include "platform/site_records.hpp"
-#include "platform/worker_codec.hpp"
+#include "platform/worker_status_codec.hpp"
 
 #include <catch2/catch.hpp>
 
