--- a/src/cli/api_client.cpp
+++ b/src/cli/api_client.cpp
@@ -1,8 +1,6 @@
 #include "cli/api_client.hpp"
 
-#include <absl/strings/str_format.h>
 #include <algorithm>
-#include <cctype>
 #include <curl/curl.h>
 
 namespace acaciastile
@@ -211,23 +209,4 @@
     return read;
 }
 
-std::string escape_url(const std::string& text)
-{
-    constexpr std::string_view plain = "-._~";
-    std::string out;
-    for (const char next : text)
-    {
-        const auto byte = static_cast<unsigned char>(next);
-        if (std::isalnum(byte) || plain.find(next) != std::string_view::npos)
-        {
-            out += next;
-        }
-        else
-        {
-            out += absl::StrFormat("%%%02X", byte);
-        }
-    }
-    return out;
-}
-
 } // namespace acaciastile
--- a/src/cli/api_client.hpp
+++ b/src/cli/api_client.hpp
@@ -56,7 +56,4 @@
 /// The error in the body of an answer whose status is 400 or more.
 [[nodiscard]] error read_error_answer(const client_answer& answer);
 
-/// Escapes a text for a part of a path or a query.
-[[nodiscard]] std::string escape_url(const std::string& text);
-
 } // namespace acaciastile
--- a/src/domain/event_number.hpp
+++ b/src/domain/event_number.hpp
@@ -94,6 +94,7 @@
     permit_unused = 6042,
     step_rejected = 6043,
     registration_refused = 6044,
+    load_slow = 6045,
     lines_dropped = 6050,
     // HTTP entry.
     listening = 4000,
@@ -204,6 +205,7 @@
     {event_number::registration_refused,
      event_level::warn,
      "registration_refused"},
+    {event_number::load_slow, event_level::warn, "load_slow"},
     {event_number::lines_dropped, event_level::warn, "lines_dropped"},
     {event_number::listening, event_level::info, "listening"},
     {event_number::certificates_reloaded,
--- a/src/edge/config_watch.cpp
+++ b/src/edge/config_watch.cpp
@@ -72,6 +72,7 @@
     const instant requested_at = clock_.now_with_suspends();
     store_.read_newest(
         foreign_.configuration_topic(),
+        {},
         [weak = weak_from_this(),
          requested_at](const result<fleet::store_page>& page)
         {
--- a/src/fleet/absent_worker_table.cpp
+++ b/src/fleet/absent_worker_table.cpp
@@ -100,8 +100,11 @@
 std::vector<store_record> absent_worker_table::take_changes()
 {
     std::vector<store_record> records;
-    for (const auto& [worker, absence] : pending_changes_)
+    auto next = pending_changes_.begin();
+    for (; next != pending_changes_.end() && records.size() < max_changes_taken;
+         ++next)
     {
+        const auto& [worker, absence] = *next;
         records.push_back(
             {0, key_of(worker), absence ? encode(*absence) : std::string()});
         if (!absence)
@@ -109,7 +112,7 @@
             deletions_in_flight_.push_back(worker);
         }
     }
-    pending_changes_.clear();
+    pending_changes_.erase(pending_changes_.begin(), next);
     return records;
 }
 
--- a/src/fleet/absent_worker_table.hpp
+++ b/src/fleet/absent_worker_table.hpp
@@ -50,7 +50,10 @@
     {
         return !pending_changes_.empty();
     }
-    /// Takes the changes since the last call, as records to append.
+    /// Most changes that one call of `take_changes` returns, which bounds the
+    /// append that stores them.
+    static constexpr std::size_t max_changes_taken = 1'000;
+    /// Takes changes since the last call, as records to append.
     [[nodiscard]] std::vector<store_record> take_changes();
     /// All changes that were taken so far are stored.
     void confirm_stored();
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -62,6 +62,11 @@
 /// predecessor's leases to expire.
 inline constexpr const char* unknown_worker_id = "?";
 
+/// How many unreadable entries of the registry under keys of no known worker
+/// are tracked one by one. With more of them a new owner waits for the leases
+/// of its predecessor to end, as it does for a worker that it cannot reach.
+inline constexpr std::size_t max_unreadable_keys = 256;
+
 struct owner_settings
 {
     instance_id vm; ///< The VM that this owner runs on.
@@ -134,6 +139,9 @@
     /// Time between two records of the learnt speeds of workers. A successor
     /// learns anew what the last one does not tell.
     milliseconds speeds_interval{5'000};
+    /// Time after which a load that is not done is logged, again and again. A
+    /// successor usually starts tasks within it.
+    milliseconds load_report_interval{2'000};
     /// Time between two deletions of obsolete records from the store's topics.
     milliseconds cleanup_interval{2'000};
 };
@@ -265,6 +273,8 @@
     /// Selects the page of `loading` that a read fills.
     using loaded_page = std::function<std::optional<store_page>&(loading&)>;
     void load_newest(const std::string& topic, loaded_page into);
+    /// Logs what is read so far of a load that takes long.
+    void report_slow_load();
     /// Reads the registry's log from an offset up to its end.
     void load_registry_history(log_offset from);
     /// Reads more of the log if that reaches the offset up to which removed
@@ -279,6 +289,9 @@
     /// Handles an entry of the registry that cannot be used. A worker that is
     /// known under its key keeps its last readable registration.
     void refuse_registration(const store_record& record, const error& fault);
+    /// Replaces the value of an entry of the registry that cannot be used, so
+    /// that the entries of other systems take no more memory than their keys.
+    void drop_unreadable_value(store_record& record) const;
     /// Finds the workers whose newest entry in the registry cannot be read, as
     /// another system has replaced it: a worker may still be there with runs of
     /// an earlier owner.
--- a/src/fleet/owner_jobs.cpp
+++ b/src/fleet/owner_jobs.cpp
@@ -135,6 +135,7 @@
                     // reading those misses no job.
                     self.ports_.store.read_newest(
                         topics::job_topics[topic],
+                        {},
                         self.guarded(
                             [topic](
                                 fleet_owner& owner,
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -1,6 +1,9 @@
+#include "fleet/event_text.hpp"
 #include "fleet/owner.hpp"
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <algorithm>
 #include <limits>
 
@@ -62,7 +65,7 @@
                 latest = *registration;
             }
         }
-        else if (record.value.empty())
+        else if (record.value.empty() && is_worker_key(record.key))
         {
             const auto known = to.latest.find(id);
             to.expired[id] = {
@@ -135,6 +138,7 @@
 void fleet_owner::restore_replaced_registrations(
     const store_page& registry, registry_history& history)
 {
+    std::size_t unreadable = 0;
     for (const store_record& record : registry.records)
     {
         const worker_id id(record.key);
@@ -149,13 +153,16 @@
             register_worker(known->second, record.offset);
         }
         else if (
-            record.offset >= history.from &&
-            record.key.size() <= max_worker_id_bytes)
+            record.offset >= history.from && is_worker_key(record.key) &&
+            absences_.find(id) == nullptr)
         {
             // Its earlier entries are not known. The entry of a worker that
             // lives is replaced by its own before the history ends.
+            const bool is_tracked = unreadable < max_unreadable_keys;
+            ++unreadable;
             history.expired.emplace(
-                id, expired_registration{record.offset, std::nullopt});
+                is_tracked ? id : worker_id(unknown_worker_id),
+                expired_registration{record.offset, std::nullopt});
         }
     }
 }
@@ -171,11 +178,24 @@
     std::optional<registry_history> history;
     bool operators_known = false;      ///< What operators request by now.
     log_offset history_asked_from = 0; ///< Of the last read of the history.
+
+    /// Progress of one read of newest records.
+    struct scan
+    {
+        std::size_t pages = 0;
+        std::size_t records = 0;
+        bool done = false;
+    };
+    std::map<std::string, scan> scans; ///< By topic.
+    std::string failure;               ///< Last error of a read.
+    instant begun{};
 };
 
 void fleet_owner::load()
 {
     loading_ = std::make_shared<loading>();
+    loading_->begun = ports_.clock.now();
+    later(settings_.load_report_interval, &fleet_owner::report_slow_load);
     fence();
     // An evacuation that was stored before holds from the first start on.
     ports_.operators.refresh(guarded(
@@ -227,6 +247,7 @@
                         stored.error().message);
                     return;
                 }
+                self.loading_->failure = stored.error().message;
                 self.later(
                     self.settings_.store_retry_delay, &fleet_owner::fence);
             }));
@@ -234,13 +255,29 @@
 
 void fleet_owner::load_newest(const std::string& topic, loaded_page into)
 {
+    loading_->scans[topic] = {};
+    newest_observer observer;
+    observer.on_page = guarded(
+        [topic](fleet_owner& self, std::size_t records)
+        {
+            loading::scan& scan = self.loading_->scans[topic];
+            ++scan.pages;
+            scan.records += records;
+        });
+    if (topic == ports_.foreign.registry_topic())
+    {
+        observer.on_record = guarded([](fleet_owner& self, store_record& record)
+                                     { self.drop_unreadable_value(record); });
+    }
     ports_.store.read_newest(
         topic,
+        std::move(observer),
         guarded(
             [topic, into](fleet_owner& self, const result<store_page>& page)
             {
                 if (!page)
                 {
+                    self.loading_->failure = page.error().message;
                     self.ports_.clock.after(
                         self.settings_.store_retry_delay,
                         self.guarded([topic, into](fleet_owner& owner)
@@ -248,6 +285,7 @@
                     return;
                 }
                 into(*self.loading_) = *page;
+                self.loading_->scans[topic].done = true;
                 if (topic == self.ports_.foreign.registry_topic())
                 {
                     self.load_registry_history(
@@ -258,6 +296,38 @@
             }));
 }
 
+void fleet_owner::report_slow_load()
+{
+    if (!loading_)
+    {
+        return;
+    }
+    const milliseconds age = ports_.clock.now() - loading_->begun;
+    const std::string topics_read = absl::StrJoin(
+        loading_->scans,
+        ",",
+        [](std::string* out, const auto& each)
+        {
+            const auto& [topic, scan] = each;
+            absl::StrAppend(
+                out,
+                topic,
+                ":",
+                scan.pages,
+                "/",
+                scan.records,
+                scan.done ? "" : "...");
+        });
+    ports_.metrics.gauge("fleet_load_ms", "", static_cast<double>(age.count()));
+    ports_.events.emit(
+        {event_number::load_slow,
+         {{"fence", std::to_string(token_)},
+          {"age_ms", text_of(age)},
+          {"topics", topics_read},
+          {"failure", loading_->failure}}});
+    later(settings_.load_report_interval, &fleet_owner::report_slow_load);
+}
+
 void fleet_owner::load_registry_history(log_offset from)
 {
     loading_->history_asked_from = from;
@@ -320,6 +390,10 @@
         return;
     }
     loading_.reset();
+    ports_.metrics.gauge(
+        "fleet_load_ms",
+        "",
+        static_cast<double>((ports_.clock.now() - read->begun).count()));
     const milliseconds longest =
         settings_.workers.by_slowest_clock(settings_.workers.lease);
     // For that long after this owner's claim and fence the previous owner may
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -72,14 +72,16 @@
         batch->records.push_back(std::move(record));
     }
     batch->waiters.swap(after_flush_);
-    batch->removals_noted = removals_recorded_;
-    const log_offset unnoted =
-        removals_recorded_ - std::min(removals_recorded_, removals_noted_);
+    // Only true once all records of absence are stored.
+    batch->removals_noted =
+        absences_.has_changes() ? removals_noted_ : removals_recorded_;
+    const log_offset unnoted = batch->removals_noted -
+                               std::min(batch->removals_noted, removals_noted_);
     if (unnoted > registry_lookback_records / 2 ||
         (unnoted > 0 && !batch->records.empty()))
     {
         batch->records.push_back(
-            {0, topics::removals_noted, std::to_string(removals_recorded_)});
+            {0, topics::removals_noted, std::to_string(batch->removals_noted)});
     }
     if (batch->records.empty())
     {
--- a/src/fleet/owner_registry.cpp
+++ b/src/fleet/owner_registry.cpp
@@ -9,6 +9,10 @@
 /// Limits of what is logged and counted by key, as other systems write keys.
 constexpr std::size_t max_reported_registrations = 100;
 constexpr std::size_t max_reported_key_bytes = 64;
+/// Longest unreadable value that is kept, so that its report tells the fault.
+constexpr std::size_t max_unreadable_bytes = 128;
+/// Stands for a longer one. It cannot be read either.
+constexpr const char* dropped_value = "unreadable";
 
 } // namespace
 
@@ -67,8 +71,8 @@
 {
     report_refused_registration(record, fault);
     const worker_id id(record.key);
-    if (loaded_ && workers_.find(id) == nullptr &&
-        record.key.size() <= max_worker_id_bytes)
+    if (loaded_ && workers_.find(id) == nullptr && is_worker_key(record.key) &&
+        expired_registrations_.size() < max_unreadable_keys)
     {
         // Tells a successor, once earlier leases have ended, that nothing runs
         // there: it cannot tell the key from that of a worker.
@@ -76,6 +80,15 @@
     }
 }
 
+void fleet_owner::drop_unreadable_value(store_record& record) const
+{
+    if (record.value.size() > max_unreadable_bytes &&
+        !ports_.foreign.read_registration(record.key, record.value))
+    {
+        record.value = dropped_value;
+    }
+}
+
 void fleet_owner::report_refused_registration(
     const store_record& record, const error& fault)
 {
@@ -136,6 +149,9 @@
 {
     ports_.store.read_newest(
         ports_.foreign.registry_topic(),
+        {guarded([](fleet_owner& self, store_record& record)
+                 { self.drop_unreadable_value(record); }),
+         {}},
         guarded(
             [](fleet_owner& self, const result<store_page>& page)
             {
--- a/src/fleet/ports.hpp
+++ b/src/fleet/ports.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace acaciastile::fleet
@@ -75,6 +76,17 @@
 [[nodiscard]] log_offset
 first_kept(const error& expired, log_offset fallback) noexcept;
 
+/// Follows a read of the newest records of a topic while it goes on. Either
+/// function may be empty.
+struct newest_observer
+{
+    /// Called for each record as it is read; may replace a value that is of no
+    /// use, so that the result does not hold it.
+    std::function<void(store_record&)> on_record;
+    /// Called after each page with the number of its records.
+    std::function<void(std::size_t)> on_page;
+};
+
 /// The platform's metadata store. Each topic is a totally ordered log.
 class metadata_store
 {
@@ -102,9 +114,12 @@
 
     /// Reads the newest record of each key of a keyed topic. The `end` of the
     /// result is that of the first page that the store returned, so that
-    /// reading on from there misses no record. Errors: `log_unavailable`.
-    virtual void
-    read_newest(const std::string& topic, completion<store_page> done) = 0;
+    /// reading on from there misses no record. Errors: `log_unavailable`;
+    /// `malformed`, with the topic and the key, if the pages do not go on.
+    virtual void read_newest(
+        const std::string& topic,
+        newest_observer observer,
+        completion<store_page> done) = 0;
 };
 
 /// Address of one incarnation of a worker.
@@ -253,8 +268,9 @@
         completion<permits> done) = 0;
 };
 
-/// Longest id of a worker. A longer key of the registry names none.
-inline constexpr std::size_t max_worker_id_bytes = 128;
+/// True if a key of the registry may be the id of a worker: up to 128 bytes of
+/// printable ASCII. Other systems may write other keys.
+[[nodiscard]] bool is_worker_key(std::string_view key) noexcept;
 
 /// A worker's entry in the registry.
 struct worker_registration
--- a/src/observe/metric_kind.hpp
+++ b/src/observe/metric_kind.hpp
@@ -95,6 +95,10 @@
      "key",
      "Entries of the registry that describe no usable worker, by their key; "
      "`other` beyond the first keys."},
+    {"fleet_load_ms",
+     metric_type::gauge,
+     "",
+     "Milliseconds for which this owner has loaded, or took to load."},
     {"fleet_start_ms",
      metric_type::distribution,
      "",
--- a/src/standin/memory_store.cpp
+++ b/src/standin/memory_store.cpp
@@ -131,6 +131,8 @@
     fleet::completion<log_offset> done)
 {
     ++store_.calls.appends;
+    store_.calls.largest_append =
+        std::max(store_.calls.largest_append, records.size());
     fleet::scheduler_clock& clock = store_.clock_;
     switch (rejected_appends.contains(topic) ? store_mode::refusing : mode())
     {
@@ -245,12 +247,14 @@
 }
 
 void memory_store::client::read_newest(
-    const std::string& topic, fleet::completion<fleet::store_page> done)
+    const std::string& topic,
+    fleet::newest_observer observer,
+    fleet::completion<fleet::store_page> done)
 {
     ++store_.calls.reads;
     store_.clock_.after(
         store_.latency,
-        [this, topic, done = std::move(done)]
+        [this, topic, observer = std::move(observer), done = std::move(done)]
         {
             if (mode() == store_mode::refusing || mode() == store_mode::silent)
             {
@@ -264,6 +268,14 @@
             for (const auto& [key, record] : data.newest)
             {
                 page.records.push_back(record);
+                if (observer.on_record)
+                {
+                    observer.on_record(page.records.back());
+                }
+            }
+            if (observer.on_page)
+            {
+                observer.on_page(page.records.size());
             }
             done(std::move(page));
         });
--- a/src/standin/memory_store.hpp
+++ b/src/standin/memory_store.hpp
@@ -36,6 +36,7 @@
     {
         std::uint64_t appends = 0;
         std::uint64_t reads = 0;
+        std::size_t largest_append = 0; ///< In records.
     };
 
     store_mode mode = store_mode::healthy;
@@ -110,6 +111,7 @@
         fleet::completion<fleet::store_page> done) override;
     void read_newest(
         const std::string& topic,
+        fleet::newest_observer observer,
         fleet::completion<fleet::store_page> done) override;
 
 private:
--- a/tests/fleet/odd_registrations_test.cpp
+++ b/tests/fleet/odd_registrations_test.cpp
@@ -206,3 +206,83 @@
     const auto most = 10 * (10s / world.settings.worker_retry_delay + 1);
     CHECK(calls <= static_cast<std::uint64_t>(most) + 100);
 }
+
+// Guards against an owner that never loads, and against the records that the
+// running owner stored for each entry of another system.
+TEST_CASE(
+    "many unreadable entries do not keep an owner from loading", "[fleet]")
+{
+    odd_world world;
+    world.run(500ms);
+    constexpr int strangers = 3'000;
+    for (int key = 0; key < strangers; ++key)
+    {
+        world.store.put(
+            "registry",
+            "pool=a&host=" + std::to_string(key),
+            unreadable + std::string(2'000, 'x'));
+    }
+    world.submit("b", {tasks(2)});
+    CHECK(world.run_until("b", job_state::completed, 3s));
+    world.run(15s); // Past the leases, after which absences are recorded.
+    std::size_t noted = 0;
+    for (int key = 0; key < strangers; ++key)
+    {
+        noted += world.store
+                         .newest(
+                             "keyed.progress",
+                             "away/pool=a&host=" + std::to_string(key))
+                         .empty()
+                     ? 0
+                     : 1;
+    }
+    CHECK(noted <= fleet::max_unreadable_keys);
+    world.owner_vm()->kill();
+    world.run(15s);
+    REQUIRE(world.owner() != nullptr);
+    world.submit("c", {tasks(2)});
+    CHECK(world.run_until("c", job_state::completed, 3s));
+    CHECK(world.view("b").state == job_state::completed);
+    CHECK(world.broken_promises().empty());
+}
+
+TEST_CASE(
+    "a store with records of many strangers loads and is pruned", "[fleet]")
+{
+    odd_world world(1, 2);
+    constexpr int strangers = 5'000;
+    const std::string absence = fleet::encode(fleet::absence_record{});
+    const auto key_of = [](int key)
+    { return "away/pool=a&host=" + std::to_string(key); };
+    for (int key = 0; key < strangers; ++key)
+    {
+        world.store.put("keyed.progress", key_of(key), absence);
+    }
+    world.submit("b", {tasks(2)});
+    CHECK(world.run_until("b", job_state::completed, 3s));
+    const std::string entry = world.store.newest("registry", "w0");
+    for (int times = 0; times < 6'000; ++times)
+    {
+        world.store.put("registry", "w0", entry);
+    }
+    world.run(15s);
+    CHECK(world.store.newest("keyed.progress", key_of(0)).empty());
+    CHECK(world.store.newest("keyed.progress", key_of(strangers - 1)).empty());
+    // Bounded by `absent_worker_table::max_changes_taken` and what else the
+    // batch holds.
+    CHECK(world.store.calls.largest_append < 1'100);
+    CHECK(world.broken_promises().empty());
+}
+
+// Without this line an operator cannot tell what a load waits for.
+TEST_CASE("a load that takes long is logged again and again", "[fleet]")
+{
+    odd_world world(2, 2);
+    world.run(500ms);
+    world.owner_vm()->kill();
+    world.run(300ms);
+    CHECK(world.events.count(event_number::load_slow) == 0);
+    world.store.latency = 3s;
+    world.run(20s);
+    CHECK(world.events.count(event_number::load_slow) >= 1);
+}
--- a/tests/site/store_client_test.cpp
+++ b/tests/site/store_client_test.cpp
@@ -1,64 +1,14 @@
-#include "net/http_server.hpp"
-#include "platform/store_client.hpp"
+#include "support/store_server.hpp"
 
 #include <catch2/catch.hpp>
-#include <optional>
 
 using namespace acaciastile;
+using namespace acaciastile::test;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-/// A store client and an HTTP server on loopback that replies with `answer`.
-struct fixture
-{
-    boost::asio::io_context loop;
-    net::timer_service timers{loop};
-    net::http_client http{loop, timers};
-    net::endpoint address{"127.0.0.1", 17'931};
-    std::function<void(net::http_request, net::http_responder)> answer;
-    std::unique_ptr<net::http_server> server;
-    site::store_client store{http, address, {200ms, 200ms, 200ms}};
-
-    fixture()
-    {
-        auto made = net::http_server::create(
-            loop,
-            address,
-            {},
-            [this](net::http_request request, net::http_responder respond)
-            { answer(std::move(request), std::move(respond)); });
-        REQUIRE(made.has_value());
-        server = *std::move(made);
-    }
-
-    template<class Value>
-    result<Value> wait(std::function<void(fleet::completion<Value>)> call)
-    {
-        std::optional<result<Value>> outcome;
-        call([&](result<Value> told) { outcome = std::move(told); });
-        while (!outcome)
-        {
-            loop.run_one();
-        }
-        return *std::move(outcome);
-    }
-};
-
-net::http_response reply(unsigned status, std::string body)
-{
-    net::http_response response;
-    response.result(status);
-    response.body() = std::move(body);
-    return response;
-}
-
-} // namespace
-
 TEST_CASE("an append carries its records and conditions", "[site]")
 {
-    fixture at;
+    store_server at;
     std::string target;
     std::string body;
     at.answer = [&](const net::http_request& request,
@@ -83,7 +33,7 @@
 
 TEST_CASE("each status of the store maps to an error and a verdict", "[site]")
 {
-    fixture at;
+    store_server at;
     unsigned status = 0;
     at.answer =
         [&](const net::http_request&, const net::http_responder& respond)
@@ -112,7 +62,7 @@
 
 TEST_CASE("a page of records is decoded from its bytes", "[site]")
 {
-    fixture at;
+    store_server at;
     std::string page("\0\0\0\0\0\0\0\2\0\0\0\0\0\0\0\0", 16);
     page += std::string("\0\0\0\7\1kvalue", 11);
     page += std::string("\0\0\0\2\1k", 6);
@@ -137,7 +87,7 @@
 
 TEST_CASE("newest records come page by page", "[site]")
 {
-    fixture at;
+    store_server at;
     int calls = 0;
     at.answer =
         [&](const net::http_request&, const net::http_responder& respond)
@@ -150,7 +100,7 @@
                 : R"({"items":[{"key":"b","value":"dw==","offset":5}],"hasMore":false,"endOffset":9})"));
     };
     const auto newest = at.wait<fleet::store_page>(
-        [&](auto done) { at.store.read_newest("keyed.op", done); });
+        [&](auto done) { at.store.read_newest("keyed.op", {}, done); });
     REQUIRE(newest.has_value());
     REQUIRE(newest->records.size() == 2);
     CHECK(newest->records[1].value == "w");
@@ -162,7 +112,7 @@
 // another type than the interface says.
 TEST_CASE("answers of the store with odd fields are errors", "[site]")
 {
-    fixture at;
+    store_server at;
     const std::string body = GENERATE(
         R"({"offset":"x","items":7})",
         R"({"offset":-1,"items":[7]})",
@@ -180,7 +130,7 @@
     CHECK(appended.error().effect == verdict::may_have_run);
     CHECK_FALSE(at.wait<fleet::store_page>(
                       [&](fleet::completion<fleet::store_page> done)
-                      { at.store.read_newest("keyed.t", std::move(done)); })
+                      { at.store.read_newest("keyed.t", {}, std::move(done)); })
                     .has_value());
     at.answer = [](const net::http_request&, const net::http_responder& respond)
     { respond(reply(410, R"({"firstOffset":"x"})")); };
--- a/tests/support/process_gate.hpp
+++ b/tests/support/process_gate.hpp
@@ -110,9 +110,11 @@
     }
     void read_newest(
         const std::string& topic,
+        fleet::newest_observer observer,
         fleet::completion<fleet::store_page> done) override
     {
-        store_.read_newest(topic, gate_->wrap(std::move(done)));
+        store_.read_newest(
+            topic, std::move(observer), gate_->wrap(std::move(done)));
     }
 
 private:
