--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -618,6 +618,7 @@
     const auto trial = trial_of(step, index);
     worker_entry* best = nullptr;
     double best_score = std::numeric_limits<double>::max();
+    // Returns false if the task cannot start on the worker now.
     const auto compare = [&](worker_entry* worker)
     {
         ++pass.examined;
@@ -626,7 +627,7 @@
             !below_worker_limit(step, *worker) || worker->trials > 0 ||
             !may_try(pass, trial, *worker))
         {
-            return;
+            return false;
         }
         // Few runs are lost with the worker if the task crashes it.
         const double worker_score =
@@ -638,6 +639,7 @@
             best_score = worker_score;
             best = worker;
         }
+        return true;
     };
     if (step.requires_permits())
     {
@@ -667,9 +669,11 @@
             [&](const impl::fit_index::candidate& each)
             {
                 worker_entry* worker = pass.workers.at(each.worker);
-                if (worker != nullptr && may_run(pass, step, *worker))
+                // Workers on which the task cannot start do not count, as they
+                // come first in the next search too.
+                if (worker != nullptr && may_run(pass, step, *worker) &&
+                    compare(worker))
                 {
-                    compare(worker);
                     ++compared;
                 }
                 return compared < settings_.max_compared_workers;
--- a/src/policy/fit_index.cpp
+++ b/src/policy/fit_index.cpp
@@ -1,5 +1,8 @@
 #include "policy/fit_index.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace acaciastile::impl
 {
 
@@ -10,6 +13,32 @@
 
 } // namespace
 
+struct fit_index::search
+{
+    const resources& size;
+    absl::FunctionRef<bool(const candidate&)> visit;
+    std::size_t rotation = 0;
+    size_class least;
+    /// True for each kind of which the cells at the level of the size hold
+    /// workers with less than the size.
+    bool border_processors = false;
+    bool border_memory = false;
+    bool border_accelerators = false;
+    std::size_t misses = 0;
+    bool defers = true; ///< Leaves cells with misses for last.
+    bool found = false; ///< Some worker fits.
+    /// Cells that were left, and how many of their members were examined.
+    std::vector<std::pair<std::uint16_t, std::size_t>> deferred;
+
+    /// True if some workers in the cell may not fit.
+    [[nodiscard]] bool is_border(size_class cell) const
+    {
+        return (border_processors && cell.processors == least.processors) ||
+               (border_memory && cell.memory == least.memory) ||
+               (border_accelerators && cell.accelerators == least.accelerators);
+    }
+};
+
 void fit_index::set(worker_slot slot, const resources& free)
 {
     if (positions_.size() <= slot)
@@ -23,6 +52,9 @@
         erase(slot);
         return;
     }
+    std::erase_if(
+        failed_sizes_,
+        [&](const resources& failed) { return failed.fits_in(free); });
     if (known.cell == cell)
     {
         cells_[cell][known.at].free = free;
@@ -68,25 +100,47 @@
     return reachable_;
 }
 
+bool fit_index::is_known_not_to_fit(const resources& size) const
+{
+    return std::any_of(
+        failed_sizes_.begin(),
+        failed_sizes_.end(),
+        [&](const resources& failed) { return failed.fits_in(size); });
+}
+
+void fit_index::note_not_fitting(const resources& size) const
+{
+    std::erase_if(
+        failed_sizes_,
+        [&](const resources& failed) { return size.fits_in(failed); });
+    if (failed_sizes_.size() < max_failed_sizes)
+    {
+        failed_sizes_.push_back(size);
+    }
+}
+
 bool fit_index::visit_cell(
-    std::uint16_t cell,
-    const resources& size,
-    std::size_t& misses,
-    absl::FunctionRef<bool(const candidate&)> visit,
-    std::size_t rotation) const
+    search& state, std::uint16_t cell, std::size_t first) const
 {
+    const bool may_defer =
+        state.defers && state.is_border(size_class::from_index(cell));
     const std::vector<candidate>& members = cells_[cell];
-    for (std::size_t n = 0; n < members.size(); ++n)
+    for (std::size_t n = first; n < members.size(); ++n)
     {
-        const candidate& member = members[(n + rotation) % members.size()];
-        if (size.fits_in(member.free))
+        if (may_defer && state.misses >= max_misses)
         {
-            if (!visit(member))
-            {
-                return false;
-            }
+            state.deferred.emplace_back(cell, n);
+            return true;
         }
-        else if (++misses > max_misses)
+        const candidate& member =
+            members[(n + state.rotation) % members.size()];
+        if (!state.size.fits_in(member.free))
+        {
+            ++state.misses;
+            continue;
+        }
+        state.found = true;
+        if (!state.visit(member))
         {
             return false;
         }
@@ -94,14 +148,9 @@
     return true;
 }
 
-bool fit_index::visit_plane(
-    std::size_t plane,
-    const size_class& least,
-    const resources& size,
-    std::size_t& misses,
-    absl::FunctionRef<bool(const candidate&)> visit,
-    std::size_t rotation) const
+bool fit_index::visit_plane(search& state, std::size_t plane) const
 {
+    const size_class& least = state.least;
     std::array<std::uint32_t, levels> rows{};
     std::uint32_t any = 0;
     for (std::size_t memory = least.memory; memory < levels; ++memory)
@@ -114,7 +163,7 @@
     {
         return true;
     }
-    // Visits cells by their distance, in levels, from the class of `size`, so
+    // Visits cells by their distance, in levels, from the class of the size, so
     // that workers with little capacity left over come first.
     for (std::size_t steps = 0; steps < 2 * levels; ++steps)
     {
@@ -134,7 +183,7 @@
             auto cell = static_cast<std::uint16_t>(
                 plane * levels * levels + memory * levels + least.processors +
                 processor_steps);
-            if (!visit_cell(cell, size, misses, visit, rotation))
+            if (!visit_cell(state, cell, 0))
             {
                 return false;
             }
@@ -148,17 +197,38 @@
     absl::FunctionRef<bool(const candidate&)> visit,
     std::size_t rotation) const
 {
-    size_class least = class_of(size);
-    std::size_t misses = 0;
+    if (is_known_not_to_fit(size))
+    {
+        return;
+    }
+    search state{size, visit, rotation, class_of(size)};
+    const size_class& least = state.least;
+    state.border_processors =
+        size.milli_processors > processor_levels[least.processors];
+    state.border_memory = size.memory_mib > memory_levels[least.memory];
+    state.border_accelerators =
+        size.accelerators > accelerator_levels[least.accelerators];
     for (std::size_t plane = least.accelerators;
          plane < accelerator_levels.size();
          ++plane)
     {
-        if (!visit_plane(plane, least, size, misses, visit, rotation))
+        if (!visit_plane(state, plane))
         {
             return;
         }
     }
+    state.defers = false;
+    for (const auto& [cell, first] : state.deferred)
+    {
+        if (!visit_cell(state, cell, first))
+        {
+            return;
+        }
+    }
+    if (!state.found)
+    {
+        note_not_fitting(size);
+    }
 }
 
 } // namespace acaciastile::impl
--- a/src/policy/fit_index.hpp
+++ b/src/policy/fit_index.hpp
@@ -32,8 +32,9 @@
     };
 
     /// Calls `visit` for workers that fit the size, those with the least
-    /// left over about first, until it returns false. In cells where only some
-    /// workers fit the size it examines a bounded number of them. `rotation`
+    /// left over about first, until it returns false. Every worker that fits is
+    /// visited if it returns true throughout; after a number of workers that do
+    /// not fit, the cells where only some of them do come last. `rotation`
     /// selects the worker of each cell that comes first, so that searches with
     /// different rotations are spread over similar workers.
     void visit(
@@ -49,28 +50,29 @@
     };
 
     static constexpr std::uint16_t no_cell = size_classes;
-    /// Workers without enough capacity examined before a search stops.
+    /// Workers that do not fit which a search examines before it leaves the
+    /// cells that hold such workers for last.
     static constexpr std::size_t max_misses = 512;
+    /// Sizes that are remembered as fitting on no worker.
+    static constexpr std::size_t max_failed_sizes = 64;
 
-    [[nodiscard]] bool visit_cell(
-        std::uint16_t cell,
-        const resources& size,
-        std::size_t& misses,
-        absl::FunctionRef<bool(const candidate&)> visit,
-        std::size_t rotation) const;
-    [[nodiscard]] bool visit_plane(
-        std::size_t plane,
-        const size_class& least,
-        const resources& size,
-        std::size_t& misses,
-        absl::FunctionRef<bool(const candidate&)> visit,
-        std::size_t rotation) const;
+    /// State of one search.
+    struct search;
+    /// Visits the members of a cell from the `first` of its rotation on.
+    /// Returns false if the caller has stopped the search.
+    [[nodiscard]] bool
+    visit_cell(search& state, std::uint16_t cell, std::size_t first) const;
+    [[nodiscard]] bool visit_plane(search& state, std::size_t plane) const;
+    [[nodiscard]] bool is_known_not_to_fit(const resources& size) const;
+    void note_not_fitting(const resources& size) const;
 
     std::array<std::vector<candidate>, size_classes> cells_;
     std::vector<position> positions_;
     class_set occupied_;
     mutable class_set reachable_;
     mutable bool reachable_stale_ = false;
+    /// Sizes that fitted on no worker and on none since.
+    mutable std::vector<resources> failed_sizes_;
 };
 
 } // namespace acaciastile::impl
--- a/tests/fleet/large_fleet_load_test.cpp
+++ b/tests/fleet/large_fleet_load_test.cpp
@@ -343,3 +343,45 @@
     }
     CHECK(reserving == gangs);
 }
+
+// Guards against a small job that waits beside idle workers: a search gave up
+// after 512 workers with a little less room than it needs (review/10).
+TEST_CASE(
+    "a small task starts beside hundreds of nearly full workers", "[load]")
+{
+    large_fleet fleet;
+    constexpr std::size_t nearly_full = 540;
+    for (std::size_t n = 0; n < nearly_full; ++n)
+    {
+        worker_entry& worker = *fleet.workers.all()[n];
+        run_entry run;
+        run.task = {{job_id("large"), 0, 0}, static_cast<std::uint32_t>(n)};
+        run.run = 1;
+        run.needs = {31'200, 1'024, 0};
+        fleet.workers.add_run(worker, run);
+    }
+    job_entry& small = fleet.submit("small", "free", 1, 1);
+    small.job.request.steps[0].each.milli_processors = 900;
+    CHECK(fleet.decide().starts.size() == 1);
+}
+
+// Guards against a task that waits beside idle workers: its trial needs a
+// worker where nothing has just started, and the workers with the least room,
+// which come first in each search, used up the number that is compared.
+TEST_CASE("a trial takes place behind many workers that are busy", "[load]")
+{
+    large_fleet fleet;
+    constexpr std::size_t busy = 200;
+    for (std::size_t n = 0; n < busy; ++n)
+    {
+        run_entry run;
+        run.task = {{job_id("other"), 0, 0}, static_cast<std::uint32_t>(n)};
+        run.run = 1;
+        run.needs = {28'000, 1'024, 0};
+        run.started = fleet.now;
+        fleet.workers.add_run(*fleet.workers.all()[n], run);
+    }
+    job_entry& job = fleet.submit("suspect", "free", 1, 1);
+    job.occurrences[0][0].tasks[0].crashes.add(1, crash_blame::shared);
+    CHECK(fleet.decide().starts.size() == 1);
+}
