--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -56,6 +56,7 @@
       latest_token_(token),
       jobs_(token),
       workers_(settings.workers),
+      unseen_cancels_(settings.max_unseen_cancels),
       planner_(settings.planning),
       dispatcher_(settings.advice, token)
 {
@@ -402,7 +403,7 @@
             }
             else if (job == nullptr)
             {
-                done(false);
+                cancel_unseen(id, done);
             }
             else
             {
@@ -411,6 +412,31 @@
         });
 }
 
+void fleet_owner::cancel_unseen(const job_id& id, completion<bool> done)
+{
+    if (!unseen_cancels_.add(id, ports_.clock.now(), ports_.clock.wall()))
+    {
+        done(refuse(
+            refusal_code::overloaded,
+            "too many unknown jobs were cancelled lately"));
+        return;
+    }
+    ports_.events.emit(
+        {event_number::unseen_job_cancelled, {{"job", id.str()}}});
+    after_flush_.push_back([done = std::move(done)] { done(false); });
+    schedule_round();
+}
+
+void fleet_owner::end_cancelled_request(job_entry& job)
+{
+    ports_.events.emit(
+        {event_number::cancelled_request_stored, {{"job", job.job.id.str()}}});
+    jobs_.cancel(job.job.id, ports_.clock.wall());
+    stop_job(job, "the job was cancelled before its request was stored");
+    jobs_.mark_changed(job);
+    schedule_round();
+}
+
 void fleet_owner::cancel_known(job_entry& job, completion<bool> done)
 {
     const bool was_final = job.is_final();
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -11,6 +11,7 @@
 #include "fleet/poll_schedule.hpp"
 #include "fleet/ports.hpp"
 #include "fleet/presumed_ends.hpp"
+#include "fleet/unseen_cancel_table.hpp"
 #include "fleet/unsettled_orders.hpp"
 #include "fleet/worker_table.hpp"
 
@@ -132,6 +133,9 @@
     milliseconds isolation_timeout{2'000};
     /// How long the state of an ended job can be queried.
     milliseconds status_kept{120'000};
+    /// Cancellations of jobs without a stored request that are kept for that
+    /// time. Further ones are refused, as they would not hold.
+    std::size_t max_unseen_cancels = 20'000;
     /// How far the wall clocks of two VMs may be apart. If the owner changes
     /// more often than every `status_kept`, an ended job is kept for up to this
     /// time longer.
@@ -223,8 +227,9 @@
     void accept(accepted_job job);
 
     /// Cancels a job. Once the cancellation is stored, `done` is called with
-    /// true; it is called with false if the job is unknown. Errors: as
-    /// `look_up`.
+    /// true, or with false if the job is unknown: a request for it that is
+    /// stored later never starts. Errors: as `look_up`; `overloaded` if too
+    /// many unknown jobs were cancelled lately.
     void cancel(const job_id& id, completion<bool> done);
 
     /// Handles a VM's request for a question that it can put to the policy
@@ -283,6 +288,9 @@
     /// Applies the loaded records once all reads have completed.
     void finish_loading();
     void restore_progress(const store_record& record);
+    /// Time by the steady clock of an event that an earlier owner has recorded
+    /// with its wall clock; not earlier than it was.
+    [[nodiscard]] instant instant_of(wall_time recorded) const;
     void apply_registration(const store_record& record);
     void
     register_worker(const worker_registration& registration, log_offset offset);
@@ -352,6 +360,10 @@
     /// Charges the open jobs of earlier owners in the order of their age.
     void charge_inherited_rates();
     void cancel_known(job_entry& job, completion<bool> done);
+    /// Stores that a job is cancelled of which no request is stored.
+    void cancel_unseen(const job_id& id, completion<bool> done);
+    /// Ends a job that was cancelled before its request was stored.
+    void end_cancelled_request(job_entry& job);
     /// True once no unknown run of an earlier owner can be active: all workers
     /// that could have one are sealed, or all leases that it granted have
     /// expired. Until then, starting a task of an inherited job could run it
@@ -653,6 +665,7 @@
     log_offset removals_recorded_ = 0;
     log_offset removals_noted_ = 0;
     noted_run_table noted_runs_;
+    unseen_cancel_table unseen_cancels_;
     presumed_end_table presumed_ends_;
     unsettled_order_table unsettled_orders_;
     /// Workers that report runs of a job whose record is not read yet.
--- a/src/fleet/owner_jobs.cpp
+++ b/src/fleet/owner_jobs.cpp
@@ -52,6 +52,12 @@
     added->has_unreconciled_runs = unread_jobs_.contains(added->job.id);
     restore_unread_absent_runs(added->job.id);
     count_unread_crashes(added->job.id);
+    if (loaded_ && unseen_cancels_.contains(added->job.id) &&
+        !added->is_final())
+    {
+        end_cancelled_request(*added);
+        return;
+    }
     // Jobs that are loaded are charged together, in the order of their age.
     if (loaded_ && !added->excess)
     {
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -412,6 +412,13 @@
     {
         restore_progress(record);
     }
+    for (const job_id& id : unseen_cancels_.all())
+    {
+        if (job_entry* job = jobs_.find(id); job != nullptr && !job->is_final())
+        {
+            end_cancelled_request(*job);
+        }
+    }
     for (const auto& [id, job] : jobs_.all())
     {
         if (job->is_final() && job->stored_in != 0)
@@ -505,14 +512,22 @@
              {{"topic", topics::progress}, {"job", record.key}}});
         return;
     }
+    const instant ended = instant_of(progress->ended);
+    if (const auto unseen = unseen_cancel_table::job_of(record.key))
+    {
+        unseen_cancels_.restore(*unseen, ended);
+        return;
+    }
+    jobs_.restore(job_id(record.key), *progress, ended);
+}
+
+instant fleet_owner::instant_of(wall_time recorded) const
+{
     // The predecessor's steady clock is not known here, so the wall clocks
-    // tell the age of the end. They may differ and may have jumped.
+    // tell the age. They may differ and may have jumped.
     const milliseconds age =
-        ports_.clock.wall() - progress->ended - settings_.wall_clock_error;
-    jobs_.restore(
-        job_id(record.key),
-        *progress,
-        ports_.clock.now() - std::max(milliseconds::zero(), age));
+        ports_.clock.wall() - recorded - settings_.wall_clock_error;
+    return ports_.clock.now() - std::max(milliseconds::zero(), age);
 }
 
 } // namespace acaciastile::fleet
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -40,8 +40,9 @@
     const instant now = ports_.clock.now();
     if (flushing_ || now < next_flush_)
     {
-        if (!flushing_ && (jobs_.has_changes() || absences_.has_changes() ||
-                           noted_runs_.has_changes()))
+        if (!flushing_ &&
+            (jobs_.has_changes() || absences_.has_changes() ||
+             noted_runs_.has_changes() || unseen_cancels_.has_changes()))
         {
             ports_.clock.after(
                 next_flush_ - now,
@@ -71,6 +72,10 @@
     {
         batch->records.push_back(std::move(record));
     }
+    for (store_record& record : unseen_cancels_.take_changes())
+    {
+        batch->records.push_back(std::move(record));
+    }
     batch->waiters.swap(after_flush_);
     // Only true once all records of absence are stored.
     batch->removals_noted =
@@ -322,6 +327,7 @@
     }
     prune_absence_records();
     prune_noted_runs();
+    unseen_cancels_.forget(ports_.clock.now() - settings_.status_kept);
     if (!dropped.empty())
     {
         // A failure is ignored: the next owner deletes the remaining records.
