--- a/src/domain/event_number.hpp
+++ b/src/domain/event_number.hpp
@@ -97,6 +97,7 @@
     load_slow = 6045,
     unseen_job_cancelled = 6046,
     cancelled_request_stored = 6047,
+    step_impossible = 6048,
     lines_dropped = 6050,
     // HTTP entry.
     listening = 4000,
@@ -214,6 +215,7 @@
     {event_number::cancelled_request_stored,
      event_level::info,
      "cancelled_request_stored"},
+    {event_number::step_impossible, event_level::warn, "step_impossible"},
     {event_number::lines_dropped, event_level::warn, "lines_dropped"},
     {event_number::listening, event_level::info, "listening"},
     {event_number::certificates_reloaded,
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -69,6 +69,10 @@
     rejected_orders rejections;
     urgency_limits limits; ///< Computed when `limits_valid_until` has passed.
     instant limits_valid_until{};
+    /// Whether the listed workers could run the step if they were idle, and in
+    /// which of the planner's epochs of workers and configuration.
+    bool is_possible = true;
+    std::uint64_t possible_checked_at = 0;
 };
 
 /// State of one job.
@@ -95,6 +99,8 @@
     bool changed = false; ///< Has progress that is not stored yet.
     /// A permit of it that led to no start was logged.
     bool permit_wait_logged = false;
+    /// It was logged that no worker can run one of its steps.
+    bool impossible_logged = false;
     wall_time ended{}; ///< Set once the state is final.
     /// Since when the ended job counts as known to have ended; set once its end
     /// is stored.
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -126,7 +126,7 @@
     {
         execute(decision);
     }
-    report_permits(decided);
+    report_waits(decided);
     hand_out_questions();
     const bool is_idle_round = next_idle_round_ <= now;
     if (is_idle_round)
@@ -154,7 +154,7 @@
     }
 }
 
-void fleet_owner::report_permits(const plan& decided)
+void fleet_owner::report_waits(const plan& decided)
 {
     if (decided.permits_used > 0)
     {
@@ -173,6 +173,16 @@
                 static_cast<double>(decided.permit_waits[at]));
         }
     }
+    ports_.metrics.gauge(
+        "fleet_steps_impossible",
+        "",
+        static_cast<double>(decided.impossible_steps));
+    for (const step_id& each : decided.first_impossible)
+    {
+        ports_.events.emit(
+            {event_number::step_impossible,
+             {{"job", each.job.str()}, {"step", std::to_string(each.step)}}});
+    }
     for (const first_permit_wait& each : decided.first_permit_waits)
     {
         ports_.events.emit(
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -388,8 +388,9 @@
     // Scheduling rounds.
     void schedule_round();
     void run_round();
-    /// Reports the permits that a round used, and why others were not.
-    void report_permits(const plan& decided);
+    /// Reports the permits that a round used, why others were not, and the
+    /// steps that no worker can run.
+    void report_waits(const plan& decided);
     void execute(const start_decision& decision);
     void send_start(const start_decision& decision, bool is_retry);
     /// Undoes a start whose order is not sent. If it is a repetition, the first
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -44,6 +44,7 @@
 constexpr double remote_data_penalty = 2.0;
 /// Added to the score of the worker on which the task failed last.
 constexpr double repeated_failure_penalty = 4.0;
+
 } // namespace
 
 resources resources_needed(const step_spec& step)
@@ -116,6 +117,12 @@
         unheard_capacity,
         permit_demand(jobs.account_names().size())};
     reservations_.resize(workers.handle_count());
+    const std::pair abilities(workers.abilities_version(), config.version());
+    if (abilities != abilities_seen_)
+    {
+        abilities_seen_ = abilities;
+        ++abilities_epoch_;
+    }
     std::vector<waiting_step> waiting =
         collect_candidates(pass, inherited_may_start);
     std::erase_if(
@@ -145,21 +152,86 @@
             }
         }
     }
-    for (waiting_step& step : waiting)
+    place_all(pass, waiting);
+    request_permits(pass);
+    pass.decided.examined = pass.examined;
+    return std::move(pass.decided);
+}
+
+void planner::place_all(planning_pass& pass, std::vector<waiting_step>& waiting)
+{
+    std::size_t next = 0;
+    const auto place_until = [&](std::size_t most_examined)
     {
-        if (pass.examined > settings_.max_examined)
+        for (; next < waiting.size() && pass.examined <= most_examined; ++next)
+        {
+            ++pass.examined;
+            place_step(pass, waiting[next]);
+            note_wait(pass, waiting[next]);
+            add_demand(pass, waiting[next]);
+        }
+    };
+    const bool is_resumed = resume_at_.has_value();
+    place_until(
+        is_resumed ? settings_.max_examined -
+                         settings_.max_examined / settings_.resumed_divisor
+                   : settings_.max_examined);
+    if (next == waiting.size())
+    {
+        resume_at_.reset();
+        return;
+    }
+    pass.decided.complete = false;
+    const std::size_t reached = next;
+    if (is_resumed)
+    {
+        const auto resumed = std::find_if(
+            waiting.begin(),
+            waiting.end(),
+            [&](const waiting_step& each)
+            { return each.step->id == resume_at_->step; });
+        next = std::max(
+            next,
+            resumed == waiting.end()
+                ? std::min(resume_at_->position, waiting.size())
+                : static_cast<std::size_t>(resumed - waiting.begin()));
+        place_until(settings_.max_examined);
+    }
+    const std::size_t later = next < waiting.size() ? next : reached;
+    resume_at_ = {waiting[later].step->id, later};
+}
+
+bool planner::is_possible(
+    const planning_pass& pass,
+    const job_entry& job,
+    step_entry& step,
+    const queue_settings& queue) const
+{
+    if (step.possible_checked_at == abilities_epoch_)
+    {
+        return step.is_possible;
+    }
+    step.possible_checked_at = abilities_epoch_;
+    const step_spec& spec = job.spec(step.id);
+    const resources needs = resources_needed(spec);
+    const std::size_t wanted = spec.gang ? step.tasks.size() : 1;
+    std::size_t places = 0;
+    for (const worker_entry* worker : pass.workers.all())
+    {
+        if (worker->listed && worker->registration.service == queue.service &&
+            (spec.required_label.empty() ||
+             worker->has_label(spec.required_label)))
+        {
+            places += static_cast<std::size_t>(
+                members_that_fit(worker->registration.capacity, spec, needs));
+        }
+        if (places >= wanted)
         {
-            pass.decided.complete = false;
             break;
         }
-        ++pass.examined;
-        place_step(pass, step);
-        note_wait(pass, step);
-        add_demand(pass, step);
     }
-    request_permits(pass);
-    pass.decided.examined = pass.examined;
-    return std::move(pass.decided);
+    step.is_possible = places >= wanted;
+    return step.is_possible;
 }
 
 resources planner::waiting_use(const planning_pass& pass, const job_entry& job)
@@ -179,6 +251,18 @@
     return use;
 }
 
+void planner::note_impossible(
+    planning_pass& pass, job_entry& job, const step_entry& step)
+{
+    ++pass.decided.impossible_steps;
+    if (!job.impossible_logged &&
+        pass.decided.first_impossible.size() < max_impossible_logged)
+    {
+        job.impossible_logged = true;
+        pass.decided.first_impossible.push_back(step.id);
+    }
+}
+
 std::vector<waiting_step>
 planner::collect_candidates(planning_pass& pass, bool inherited_may_start)
 {
@@ -223,6 +307,12 @@
                 {
                     continue;
                 }
+                if (!is_possible(pass, *job, step, *queue))
+                {
+                    note_impossible(pass, *job, step);
+                    reserved_workers_.erase(step.id);
+                    continue;
+                }
                 if (pass.now >= step.limits_valid_until)
                 {
                     step.limits =
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -35,6 +35,8 @@
 
 /// Most permits without a start that one pass reports for the log.
 inline constexpr std::size_t max_permit_waits_logged = 8;
+/// Most steps that no worker can run which one pass reports for the log.
+inline constexpr std::size_t max_impossible_logged = 8;
 
 /// A step whose permits have led to no start, for the first time of its job.
 struct first_permit_wait
@@ -54,8 +56,12 @@
     /// Steps that have permits and did not start, by reason.
     std::array<std::size_t, permit_wait_names.size()> permit_waits{};
     std::vector<first_permit_wait> first_permit_waits;
-    /// False if the pass stopped at its limit of work; the steps that are left
-    /// are less urgent than those that were planned.
+    /// Steps that no listed worker could run even if all were idle.
+    std::size_t impossible_steps = 0;
+    /// The first such step of each job, once.
+    std::vector<step_id> first_impossible;
+    /// False if the pass stopped at its limit of work. The next one looks at
+    /// the steps that are left.
     bool complete = true;
     /// Steps and workers that the pass has examined.
     std::size_t examined = 0;
@@ -98,6 +104,9 @@
     /// Steps and workers examined in one pass, so that a long queue does not
     /// keep the control thread from other calls.
     std::size_t max_examined = 100'000;
+    /// If the pass before has not reached all steps, this part of that goes to
+    /// those that follow the last one that it reached, whatever their urgency.
+    std::size_t resumed_divisor = 4;
 };
 
 /// Decides which tasks start on which workers, and which permits to request
@@ -172,6 +181,18 @@
     /// started them.
     [[nodiscard]] static resources
     waiting_use(const planning_pass& pass, const job_entry& job);
+    /// True if the listed workers could run the step if they were idle.
+    [[nodiscard]] bool is_possible(
+        const planning_pass& pass,
+        const job_entry& job,
+        step_entry& step,
+        const queue_settings& queue) const;
+    static void note_impossible(
+        planning_pass& pass, job_entry& job, const step_entry& step);
+    /// Places the steps as far as the pass may examine them. Steps that it does
+    /// not reach come first in a part of the next pass, so each is reached
+    /// within as many passes as its predecessors need of that part.
+    void place_all(planning_pass& pass, std::vector<waiting_step>& waiting);
     /// Steps with waiting tasks, most urgent first.
     [[nodiscard]] std::vector<waiting_step>
     collect_candidates(planning_pass& pass, bool inherited_may_start);
@@ -304,6 +325,18 @@
     /// Workers reserved for each gang until all its members fit.
     std::map<step_id, std::vector<worker_handle>> reserved_workers_;
     std::uint64_t pass_count_ = 0;
+    /// `worker_table::abilities_version` and the version of the configuration
+    /// of the pass before, and how often they have changed.
+    std::pair<std::uint64_t, std::uint64_t> abilities_seen_;
+    std::uint64_t abilities_epoch_ = 0;
+    /// The step after the last one that the pass before has reached, and its
+    /// place in the order; empty if it has reached all.
+    struct resume_point
+    {
+        step_id step;
+        std::size_t position = 0;
+    };
+    std::optional<resume_point> resume_at_;
     std::vector<reservation> reservations_; ///< By worker.
 };
 
--- a/src/fleet/worker_table.cpp
+++ b/src/fleet/worker_table.cpp
@@ -195,6 +195,7 @@
         entry->described_at = offset;
         entry->announced_drain = registration.draining;
         entry->largest_capacity = registration.capacity;
+        ++abilities_version_;
         index(*entry);
         note_address(*entry);
         return true;
@@ -204,6 +205,10 @@
         return false; // A stale read returned an entry that was replaced.
     }
     entry->described_at = offset;
+    if (!entry->listed)
+    {
+        ++abilities_version_;
+    }
     entry->listed = true;
     if (registration.incarnation < entry->registration.incarnation)
     {
@@ -213,6 +218,12 @@
     // worker itself reports a new one.
     const std::uint64_t incarnation = entry->registration.incarnation;
     const bool restarted = registration.incarnation != incarnation;
+    if (registration.service != entry->registration.service ||
+        registration.capacity != entry->registration.capacity ||
+        registration.labels != entry->registration.labels)
+    {
+        ++abilities_version_;
+    }
     unindex(*entry);
     entry->largest_capacity =
         registration.incarnation == entry->described_incarnation
@@ -244,6 +255,7 @@
         found != nullptr && dropped_at >= found->described_at)
     {
         found->described_at = dropped_at;
+        ++abilities_version_;
         found->listed = false;
         found->dropped_at = dropped_at;
         add_out_of_sight(*found);
--- a/src/fleet/worker_table.hpp
+++ b/src/fleet/worker_table.hpp
@@ -220,6 +220,12 @@
         return by_handle_.size();
     }
 
+    /// Rises when a worker joins or leaves the registry, or has another
+    /// service, capacity or other labels than before.
+    [[nodiscard]] std::uint64_t abilities_version() const noexcept
+    {
+        return abilities_version_;
+    }
     /// Free capacity of a service's workers, whether usable or not; null if the
     /// service has none.
     [[nodiscard]] const impl::fit_index*
@@ -368,6 +374,7 @@
     /// The latest worker at each address.
     absl::flat_hash_map<std::string, worker_handle> by_address_;
     std::size_t busy_ = 0;
+    std::uint64_t abilities_version_ = 1;
 };
 
 } // namespace acaciastile::fleet
--- a/tests/fleet/large_fleet_load_test.cpp
+++ b/tests/fleet/large_fleet_load_test.cpp
@@ -385,3 +385,82 @@
     job.occurrences[0][0].tasks[0].crashes.add(1, crash_blame::shared);
     CHECK(fleet.decide().starts.size() == 1);
 }
+
+// Guards against a fleet that stands idle: gangs that no worker can run used up
+// the work of each pass, so later jobs were never looked at (review/6).
+TEST_CASE("jobs that no worker can run hold no others up", "[load]")
+{
+    large_fleet fleet;
+    const int impossible = GENERATE(130, 2'000);
+    for (int n = 0; n < impossible; ++n)
+    {
+        job_entry& gang =
+            fleet.submit("gang" + std::to_string(n), "free", 8, 9, true);
+        gang.job.request.steps[0].required_label = "no worker has it";
+    }
+    fleet.now += 10ms;
+    constexpr std::size_t small = 2'600;
+    for (std::size_t n = 0; n < small; ++n)
+    {
+        fleet.submit("small" + std::to_string(n), "free", 1, 1);
+    }
+    const plan first = fleet.decide();
+    CHECK(first.impossible_steps == static_cast<std::size_t>(impossible));
+    CHECK_FALSE(first.first_impossible.empty());
+    std::size_t started = first.starts.size();
+    std::size_t passes = 1;
+    for (; passes < 10 && started < small; ++passes)
+    {
+        started += fleet.decide().starts.size();
+    }
+    CHECK(started == small);
+    CHECK(passes <= 3);
+}
+
+TEST_CASE("a job that no worker could run starts once one joins", "[load]")
+{
+    large_fleet fleet;
+    job_entry& job = fleet.submit("labelled", "free", 1, 1);
+    job.job.request.steps[0].required_label = "rare";
+    CHECK(fleet.decide().impossible_steps == 1);
+    worker_registration registration;
+    registration.id = worker_id("rare-worker");
+    registration.service = service_name("svc");
+    registration.rack = rack_name("r0");
+    registration.labels = {"rare"};
+    registration.capacity = {32'000, 131'072, 0};
+    fleet.workers.upsert(registration);
+    fleet.workers.find(registration.id)->sealed = true;
+    const plan later = fleet.decide();
+    CHECK(later.impossible_steps == 0);
+    CHECK(later.starts.size() == 1);
+}
+
+// Guards against steps that are never looked at, as those before them use up
+// the work of each pass.
+TEST_CASE("each waiting step is looked at within a number of passes", "[load]")
+{
+    planner_settings settings;
+    settings.max_examined = 20'000;
+    large_fleet fleet(settings);
+    fleet.leave_free(4);
+    // Gangs that would fit on an idle fleet, and now on no part of it. Each one
+    // examines every worker twice a pass.
+    constexpr int gangs = 60;
+    for (int n = 0; n < gangs; ++n)
+    {
+        fleet.submit("gang" + std::to_string(n), "free", 1'200, 4, true);
+    }
+    fleet.now += 10ms;
+    fleet.submit("small", "free", 1, 1);
+    std::size_t started = 0;
+    // A quarter of a pass is for steps that earlier passes did not reach; it
+    // holds two gangs.
+    constexpr int most_passes = gangs / 2;
+    int passes = 0;
+    for (; passes < most_passes && started == 0; ++passes)
+    {
+        started += fleet.decide().starts.size();
+    }
+    CHECK(started == 1);
+}
