escape_url moves to src/codec; one encoder for all URLs

The gateway to workers of acaciastile serve used the library by itself and calls the function now. Texts on the wire are the same.

--- a/src/cli/commands/job_commands.cpp
+++ b/src/cli/commands/job_commands.cpp
@@ -4,7 +4,7 @@
 #include "cli/job_flags.hpp"
 #include "cli/output.hpp"
 #include "cli/wait_for_job.hpp"
-#include "net/url_text.hpp"
+#include "codec/url_text.hpp"
 
 #include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
@@ -60,7 +60,7 @@
 
 std::string job_path(const std::string& id)
 {
-    return "/v1/jobs/" + net::escape_url(id);
+    return "/v1/jobs/" + escape_url(id);
 }
 
 } // namespace
@@ -121,7 +121,7 @@
         "/v1/jobs?limit=" + std::to_string(absl::GetFlag(FLAGS_limit));
     if (const auto team = absl::GetFlag(FLAGS_team); !team.empty())
     {
-        path += "&team=" + net::escape_url(team);
+        path += "&team=" + escape_url(team);
     }
     const auto answer = (*client)->call("GET", path);
     if (!answer)
--- a/src/cli/commands/key_commands.cpp
+++ b/src/cli/commands/key_commands.cpp
@@ -2,8 +2,8 @@
 #include "cli/commands/operator_commands.hpp"
 #include "cli/output.hpp"
 #include "cli/random_bytes.hpp"
+#include "codec/url_text.hpp"
 #include "domain/key_check.hpp"
-#include "net/url_text.hpp"
 
 #include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
@@ -63,7 +63,7 @@
         return report(client.error());
     }
     return print_outcome(
-        (*client)->call("DELETE", "/v1/keys/" + net::escape_url(id)));
+        (*client)->call("DELETE", "/v1/keys/" + escape_url(id)));
 }
 
 } // namespace
--- a/src/cli/commands/operator_commands.cpp
+++ b/src/cli/commands/operator_commands.cpp
@@ -5,7 +5,7 @@
 #include "cli/register_import.hpp"
 #include "cli/text_file.hpp"
 #include "codec/document_codec.hpp"
-#include "net/url_text.hpp"
+#include "codec/url_text.hpp"
 
 #include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
@@ -101,7 +101,7 @@
         base = *found;
     }
     return print_outcome((*client)->call(
-        "PUT", "/v1/" + what + "?base=" + net::escape_url(base), text));
+        "PUT", "/v1/" + what + "?base=" + escape_url(base), text));
 }
 
 exit_status report_input(error wrong, const std::string& file)
--- a/src/cli/dev/mix_runner.cpp
+++ b/src/cli/dev/mix_runner.cpp
@@ -2,7 +2,7 @@
 
 #include "cli/api_client.hpp"
 #include "codec/document_codec.hpp"
-#include "net/url_text.hpp"
+#include "codec/url_text.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -112,8 +112,7 @@
     }
     else if (item.cancel)
     {
-        const std::string path =
-            "/v1/jobs/" + net::escape_url(item.spec.id.str());
+        const std::string path = "/v1/jobs/" + escape_url(item.spec.id.str());
         static_cast<void>(client.call("DELETE", path));
     }
 }
@@ -158,8 +157,8 @@
 {
     // The next instance, not the one that took it.
     api_client& client = from.client(index + 1, operator_key);
-    const auto status = client.call(
-        "GET", "/v1/jobs/" + net::escape_url(to.item.spec.id.str()));
+    const auto status =
+        client.call("GET", "/v1/jobs/" + escape_url(to.item.spec.id.str()));
     if (status)
     {
         to.outcome = outcome_of(*status, to.failed_tasks);
--- a/src/cli/wait_for_job.cpp
+++ b/src/cli/wait_for_job.cpp
@@ -1,8 +1,8 @@
 #include "cli/wait_for_job.hpp"
 
 #include "cli/output.hpp"
+#include "codec/url_text.hpp"
 #include "entry/error_reply.hpp"
-#include "net/url_text.hpp"
 
 #include <absl/strings/str_format.h>
 #include <algorithm>
@@ -106,7 +106,7 @@
 wait_for_job(api_client& client, const std::string& id, milliseconds patience)
 {
     const auto begun = steady::now();
-    const std::string path = "/v1/jobs/" + net::escape_url(id);
+    const std::string path = "/v1/jobs/" + escape_url(id);
     progress_line progress;
     milliseconds pause = first_pause;
     for (;;)
--- a/src/net/url_text.cpp
+++ b/src/codec/url_text.cpp
@@ -1,10 +1,10 @@
-#include "net/url_text.hpp"
+#include "codec/url_text.hpp"
 
 #include <curl/curl.h>
 #include <memory>
 #include <new>
 
-namespace acaciastile::net
+namespace acaciastile
 {
 
 std::string escape_url(std::string_view text)
@@ -23,4 +23,4 @@
     return escaped.get();
 }
 
-} // namespace acaciastile::net
+} // namespace acaciastile
--- a/src/net/url_text.hpp
+++ b/src/codec/url_text.hpp
@@ -3,11 +3,11 @@
 #include <string>
 #include <string_view>
 
-namespace acaciastile::net
+namespace acaciastile
 {
 
 /// Percent-encodes a text of any bytes for one part of a path or of a query.
 /// Letters, digits and `-._~` stay as they are.
 [[nodiscard]] std::string escape_url(std::string_view text);
 
-} // namespace acaciastile::net
+} // namespace acaciastile
--- a/src/platform/http/http_worker_gateway.cpp
+++ b/src/platform/http/http_worker_gateway.cpp
@@ -1,27 +1,18 @@
 #include "platform/http/http_worker_gateway.hpp"
 
+#include "codec/url_text.hpp"
 #include "platform/http/reply_reader.hpp"
 #include "platform/http/worker_messages.hpp"
 
-#include <curl/curl.h>
-
 namespace acaciastile
 {
 
 namespace
 {
 
-struct curl_text_closer
-{
-    void operator()(char* text) const noexcept { curl_free(text); }
-};
-
 std::string path_of(const worker_id& worker)
 {
-    const std::string& id = worker.str();
-    const std::unique_ptr<char, curl_text_closer> escaped(
-        curl_easy_escape(nullptr, id.data(), static_cast<int>(id.size())));
-    return "/v1/worker/" + std::string(escaped ? escaped.get() : "") + "/call";
+    return "/v1/worker/" + escape_url(worker.str()) + "/call";
 }
 
 } // namespace
--- a/tests/cli/api_client_test.cpp
+++ b/tests/cli/api_client_test.cpp
@@ -1,7 +1,7 @@
 #include "cli/api_client.hpp"
 #include "cli/wait_for_job.hpp"
+#include "codec/url_text.hpp"
 #include "entry/listen_socket.hpp"
-#include "net/url_text.hpp"
 #include "support/entry_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -35,7 +35,7 @@
         .SIDE_EFFECT(_4(job_status{}));
     auto client = connect(made.service->external_address());
     const auto answer =
-        client->call("DELETE", "/v1/jobs/" + net::escape_url("a b%"));
+        client->call("DELETE", "/v1/jobs/" + escape_url("a b%"));
     REQUIRE(answer.has_value());
     CHECK(answer->at("cancelled") == false);
 }
--- a/tests/site/newest_scan_test.cpp
+++ b/tests/site/newest_scan_test.cpp
@@ -1,4 +1,4 @@
-#include "net/url_text.hpp"
+#include "codec/url_text.hpp"
 #include "support/store_server.hpp"
 
 #include <absl/strings/escaping.h>
@@ -229,9 +229,9 @@
     {
         all += static_cast<char>(byte);
     }
-    const std::string escaped = net::escape_url(all);
+    const std::string escaped = escape_url(all);
     CHECK(escaped.find_first_of(" &#+?/=\r\n") == std::string::npos);
     CHECK(parameter("/?a=1&text=" + escaped + "&b=2", "text") == all);
-    CHECK(net::escape_url("").empty());
-    CHECK(net::escape_url("aZ09-._~") == "aZ09-._~");
+    CHECK(escape_url("").empty());
+    CHECK(escape_url("aZ09-._~") == "aZ09-._~");
 }
