--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -478,7 +478,38 @@
     milliseconds deadline,
     fleet::completion<std::size_t> done)
 {
-    owner_->pending(queue, deadline, std::move(done));
+    owner_->count_waiting(
+        queue,
+        deadline,
+        [this,
+         queue,
+         asked = clock_->now_with_suspends(),
+         done = std::move(done)](const result<fleet::waiting_count>& count)
+        {
+            if (!count)
+            {
+                done(tl::unexpected(count.error()));
+                return;
+            }
+            report_count(queue, *count, clock_->now_with_suspends() - asked);
+            done(count->waiting);
+        });
+}
+
+void edge_process::report_count(
+    const queue_name& queue,
+    const fleet::waiting_count& count,
+    milliseconds took)
+{
+    const auto& owner = leadership_->owner();
+    events_->emit(
+        {event_number::count_given,
+         {{"queue", queue.str()},
+          {"waiting", std::to_string(count.waiting)},
+          {"age_ms", fleet::text_of(count.age)},
+          {"took_ms", fleet::text_of(took)},
+          {"owner", owner ? owner->vm : ""},
+          {"fence", std::to_string(owner ? owner->token : 0)}}});
 }
 
 void edge_process::refused(const std::string& id, std::string_view reason)
--- a/src/edge/edge_process.hpp
+++ b/src/edge/edge_process.hpp
@@ -103,6 +103,11 @@
         instant received_at,
         fleet::intake_outcome outcome,
         const std::string& reason);
+    /// Logs a count of waiting jobs that a caller is given.
+    void report_count(
+        const queue_name& queue,
+        const fleet::waiting_count& count,
+        milliseconds took);
     /// Writes kept log lines, now and at regular intervals.
     void flush_log();
     void wait_for_signal();
--- a/src/edge/owner_client.cpp
+++ b/src/edge/owner_client.cpp
@@ -246,41 +246,22 @@
         });
 }
 
-void owner_client::pending(
+void owner_client::count_waiting(
     const queue_name& queue,
     milliseconds deadline,
-    fleet::completion<std::size_t> done)
+    fleet::completion<fleet::waiting_count> done)
 {
     if (local_)
     {
-        if (!local_->loaded())
-        {
-            done(no_owner("the owner is loading"));
-            return;
-        }
-        done(local_->pending(queue));
+        local_->count_waiting(queue, std::move(done));
         return;
     }
     call(
-        peer_paths::pending,
+        peer_paths::count,
         queue.str(),
         std::min(deadline, max_call_timeout),
         [done = std::move(done)](const result<std::string>& body)
-        {
-            std::uint64_t count = 0;
-            if (!body)
-            {
-                done(tl::unexpected(body.error()));
-            }
-            else if (!absl::SimpleAtoi(*body, &count))
-            {
-                done(refuse(refusal_code::malformed, "the owner's count"));
-            }
-            else
-            {
-                done(static_cast<std::size_t>(count));
-            }
-        });
+        { done(body.and_then(decode_waiting_count)); });
 }
 
 void owner_client::work(
--- a/src/edge/owner_client.hpp
+++ b/src/edge/owner_client.hpp
@@ -39,12 +39,12 @@
     /// Cancels a job. Returns false if the owner does not know the job.
     void cancel(
         const job_id& id, milliseconds deadline, fleet::completion<bool> done);
-    /// Returns the number of pending jobs in a queue. Fails with `malformed` if
-    /// the owner's reply cannot be decoded.
-    void pending(
+    /// Returns the number of a queue's jobs that wait, with its age when the
+    /// owner replied. Fails with `malformed` if the reply cannot be decoded.
+    void count_waiting(
         const queue_name& queue,
         milliseconds deadline,
-        fleet::completion<std::size_t> done);
+        fleet::completion<fleet::waiting_count> done);
     /// Long-polls for the next query to the policy service.
     void work(work_request request, fleet::completion<work_reply> done);
     /// Sends a job to the owner to be stored. The verdict of an error says
--- a/src/edge/peer_api.cpp
+++ b/src/edge/peer_api.cpp
@@ -75,8 +75,35 @@
     }
     if (path == peer_paths::pending)
     {
-        const std::size_t count = owner->pending(queue_name(request.body()));
-        respond(reply(http::status::ok, std::to_string(count)));
+        // Asked by VMs of builds before `peer_paths::count`.
+        owner->count_waiting(
+            queue_name(request.body()),
+            [respond =
+                 std::move(respond)](const result<fleet::waiting_count>& count)
+            {
+                respond(
+                    count
+                        ? reply(
+                              http::status::ok, std::to_string(count->waiting))
+                        : reply(
+                              http::status::service_unavailable,
+                              count.error().message));
+            });
+        return;
+    }
+    if (path == peer_paths::count)
+    {
+        owner->count_waiting(
+            queue_name(request.body()),
+            [respond =
+                 std::move(respond)](const result<fleet::waiting_count>& count)
+            {
+                respond(
+                    count ? reply(http::status::ok, encode(*count))
+                          : reply(
+                                http::status::service_unavailable,
+                                count.error().message));
+            });
         return;
     }
     if (path == peer_paths::work)
--- a/src/edge/peer_messages.cpp
+++ b/src/edge/peer_messages.cpp
@@ -200,6 +200,23 @@
     return accept_request{*std::move(parts->first), parts->second};
 }
 
+std::string encode(const fleet::waiting_count& count)
+{
+    return to_msgpack_text(json::array({count.waiting, count.age.count()}));
+}
+
+result<fleet::waiting_count> decode_waiting_count(std::string_view text)
+{
+    return decode_msgpack<fleet::waiting_count>(
+        text,
+        [](const json& value)
+        {
+            return fleet::waiting_count{
+                value.at(0).get<std::size_t>(),
+                milliseconds(value.at(1).get<milliseconds::rep>())};
+        });
+}
+
 std::string encode(const fleet::job_view& view)
 {
     return to_msgpack_text(
--- a/src/edge/peer_messages.hpp
+++ b/src/edge/peer_messages.hpp
@@ -16,7 +16,10 @@
 inline constexpr const char* work = "/v1/fleet/work";
 inline constexpr const char* state = "/v1/fleet/state";
 inline constexpr const char* cancel = "/v1/fleet/cancel";
+/// The number of waiting jobs as text; VMs of earlier builds ask for it.
 inline constexpr const char* pending = "/v1/fleet/pending";
+/// The number of waiting jobs with its age.
+inline constexpr const char* count = "/v1/fleet/count";
 inline constexpr const char* accept = "/v1/fleet/accept";
 /// Liveness check. The owner replies at once, even while it is loading, with
 /// the milliseconds since its last reply from the store.
@@ -78,6 +81,10 @@
 [[nodiscard]] result<accept_request>
 decode_accept_request(std::string_view text);
 
+[[nodiscard]] std::string encode(const fleet::waiting_count& count);
+[[nodiscard]] result<fleet::waiting_count>
+decode_waiting_count(std::string_view text);
+
 [[nodiscard]] std::string encode(const fleet::job_view& view);
 [[nodiscard]] result<fleet::job_view> decode_job_view(std::string_view text);
 
--- a/src/fleet/job_tracker.cpp
+++ b/src/fleet/job_tracker.cpp
@@ -13,6 +13,13 @@
 
 } // namespace
 
+std::string_view name_of(start_evidence evidence) noexcept
+{
+    constexpr std::array<std::string_view, start_evidence_kinds> names{
+        "none", "answer", "status", "end", "absence", "stored"};
+    return names[static_cast<std::size_t>(evidence)];
+}
+
 job_entry* job_tracker::add(accepted_job job, bool inherited, instant now)
 {
     auto& entry = jobs_[job.id];
@@ -172,6 +179,9 @@
     }
     job.state = progress.state;
     job.reported_state = progress.state;
+    job.started_by = progress.state == job_state::queued
+                         ? start_evidence::none
+                         : start_evidence::stored;
     job.ended = progress.ended;
     job.excess = progress.excess;
     if (job.is_final())
@@ -243,11 +253,12 @@
     add_live_run(step, step.tasks[index], {run, worker});
 }
 
-void job_tracker::confirm_start(const job_id& id)
+void job_tracker::confirm_start(const job_id& id, start_evidence evidence)
 {
     job_entry* job = find(id);
     if (job != nullptr && job->state == job_state::queued)
     {
+        job->started_by = evidence;
         job->state = job_state::running;
         job->reported_state = job_state::running;
     }
@@ -257,7 +268,8 @@
     const task_ref& task,
     run_number run,
     const worker_id& worker,
-    const std::string& checkpoint)
+    const std::string& checkpoint,
+    start_evidence evidence)
 {
     open_reported_occurrence(task.step);
     job_entry* job = find(task.step.job);
@@ -276,7 +288,7 @@
         return adoption::task_done;
     }
     begin_run(*step, task.index, run, worker);
-    confirm_start(task.step.job);
+    confirm_start(task.step.job, evidence);
     if (entry->run != run)
     {
         return adoption::superseded;
@@ -605,6 +617,22 @@
         }));
 }
 
+start_counts job_tracker::starts_in(const queue_name& queue) const
+{
+    const auto& names = queue_names();
+    const auto known = std::find(names.begin(), names.end(), queue);
+    const auto index = static_cast<std::uint32_t>(known - names.begin());
+    start_counts counts{};
+    for (const job_entry* job : open_)
+    {
+        if (job->queue_index == index)
+        {
+            ++counts[static_cast<std::size_t>(job->started_by)];
+        }
+    }
+    return counts;
+}
+
 void job_tracker::note_end_stored(job_entry& job, job_state state, instant now)
 {
     job.reported_state = state;
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -9,10 +9,12 @@
 #include "fleet/worker_set.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace acaciastile::fleet
@@ -75,6 +77,26 @@
     std::uint64_t possible_checked_at = 0;
 };
 
+/// What shows that a task of a job has started.
+enum class start_evidence : std::uint8_t
+{
+    none,    ///< Nothing does: the job waits.
+    answer,  ///< A worker accepted a start order.
+    status,  ///< A worker listed a run.
+    end,     ///< A worker listed the end of a run.
+    absence, ///< A stored absence lists a run.
+    stored   ///< An earlier owner has stored that it is running.
+};
+
+/// Name of the evidence in log lines.
+[[nodiscard]] std::string_view name_of(start_evidence evidence) noexcept;
+
+/// Number of kinds of `start_evidence`.
+inline constexpr std::size_t start_evidence_kinds = 6;
+
+/// The open jobs of a queue, by what shows that they have started.
+using start_counts = std::array<std::size_t, start_evidence_kinds>;
+
 /// State of one job.
 struct job_entry
 {
@@ -85,6 +107,7 @@
     /// The state that callers are shown. Final states appear here only once
     /// they are stored.
     job_state reported_state = job_state::queued;
+    start_evidence started_by = start_evidence::none;
     /// By occurrence, then by step.
     std::vector<std::vector<step_entry>> occurrences;
     /// When this owner added the job; for inherited jobs, the estimated time
@@ -216,7 +239,7 @@
 
     /// Records that a run of the job has started on a worker: the job is
     /// running from now on. Does nothing if it is not queued or not known.
-    void confirm_start(const job_id& id);
+    void confirm_start(const job_id& id, start_evidence evidence);
 
     /// Records a run that a worker or an absence record has reported. Its job
     /// counts as started, unless the task is done or unknown. The caller stops
@@ -227,7 +250,8 @@
         const task_ref& task,
         run_number run,
         const worker_id& worker,
-        const std::string& checkpoint);
+        const std::string& checkpoint,
+        start_evidence evidence = start_evidence::status);
 
     /// True if the run is stored as failed.
     [[nodiscard]] bool has_failed(const task_ref& task, run_number run);
@@ -271,6 +295,9 @@
     /// Number of a queue's jobs of which no task is known to have started.
     [[nodiscard]] std::size_t pending(const queue_name& queue) const;
 
+    /// The open jobs of a queue by the evidence of their start.
+    [[nodiscard]] start_counts starts_in(const queue_name& queue) const;
+
     /// Records that the end of a job is stored: callers are shown it from now
     /// on.
     void note_end_stored(job_entry& job, job_state state, instant now);
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -390,9 +390,17 @@
                    : milliseconds::zero();
 }
 
-std::size_t fleet_owner::pending(const queue_name& queue) const
+void fleet_owner::count_waiting(
+    const queue_name& queue, completion<waiting_count> done)
 {
-    return jobs_.pending(queue);
+    if (!loaded_)
+    {
+        done(refuse(refusal_code::no_owner, "the owner is loading"));
+        return;
+    }
+    const waiting_count count{jobs_.pending(queue), age_of_jobs()};
+    report_count(queue, count);
+    done(count);
 }
 
 void fleet_owner::cancel(const job_id& id, completion<bool> done)
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -175,6 +175,16 @@
     job_state state = job_state::queued;
 };
 
+/// Number of a queue's jobs that wait, and what it rests on.
+struct waiting_count
+{
+    std::size_t waiting =
+        0; ///< Jobs of which no task is known to have started.
+    /// Every job that was stored longer ago is counted, and every start that
+    /// was reported longer ago is known.
+    milliseconds age{0};
+};
+
 class run_list_text;
 struct registry_history;
 
@@ -204,8 +214,9 @@
     /// `log_unavailable`; `no_owner` while the owner is loading or if it ends
     /// before it can answer.
     void look_up(const job_id& id, completion<job_view> done);
-    /// Number of jobs in a queue of which no task is known to have started.
-    [[nodiscard]] std::size_t pending(const queue_name& queue) const;
+    /// Counts the jobs in a queue of which no task is known to have started.
+    /// Errors: `no_owner` while the owner is loading.
+    void count_waiting(const queue_name& queue, completion<waiting_count> done);
 
     /// Records that the store has taken a claim, a renewal or progress of this
     /// owner that was sent at that time of
@@ -345,9 +356,16 @@
     /// Starts one read for all callers of `read_jobs_now` that wait, unless one
     /// is in flight: it may have passed the job that a caller asks for.
     void read_jobs_for_waiting();
+    /// Time since the store was asked for the jobs that are known by now.
+    [[nodiscard]] milliseconds age_of_jobs() const;
+    /// Logs a count of waiting jobs with what it rests on.
+    void report_count(const queue_name& queue, const waiting_count& count);
     /// As above, for one topic.
     void read_jobs_now(std::size_t topic, completion<void> done);
-    void apply_jobs_page(std::size_t topic, const store_page& page);
+    /// Adds the jobs of a page that was asked for at `sent`, a time of
+    /// `scheduler_clock::now_with_suspends`.
+    void
+    apply_jobs_page(std::size_t topic, const store_page& page, instant sent);
     void add_job(accepted_job job, bool inherited);
     /// Reads all jobs that were stored while an earlier owner may have decided.
     void read_predecessor_jobs();
@@ -685,6 +703,10 @@
 
     /// Next offset to read in each topic of jobs.
     std::array<log_offset, topics::job_topics.size()> jobs_next_{};
+    /// Time before which all jobs in each topic are known: when the last read
+    /// that reached the topic's end was sent. By
+    /// `scheduler_clock::now_with_suspends`.
+    std::array<instant, topics::job_topics.size()> jobs_known_until_{};
     log_offset registry_next_ = 0; ///< Next offset to read.
     /// Keys of entries of the registry that were reported as unusable.
     std::set<std::string> refused_registrations_;
--- a/src/fleet/owner_absences.cpp
+++ b/src/fleet/owner_absences.cpp
@@ -137,8 +137,8 @@
     {
         return false;
     }
-    const adoption outcome =
-        jobs_.adopt_run(task, number, worker.registration.id, {});
+    const adoption outcome = jobs_.adopt_run(
+        task, number, worker.registration.id, {}, start_evidence::absence);
     if (outcome != adoption::adopted && outcome != adoption::superseded)
     {
         report_rejected_adoption(worker, task, number, outcome);
--- a/src/fleet/owner_adoptions.cpp
+++ b/src/fleet/owner_adoptions.cpp
@@ -46,7 +46,7 @@
         run_entry& run = at->second;
         if (run.listed_in == 0)
         {
-            jobs_.confirm_start(running.task.step.job);
+            jobs_.confirm_start(running.task.step.job, start_evidence::status);
             note_run(worker, run);
         }
         run.listed_in = worker.status_count;
@@ -91,7 +91,11 @@
         run.needs_known = false;
     }
     const adoption outcome = jobs_.adopt_run(
-        running.task, running.run, worker.registration.id, running.checkpoint);
+        running.task,
+        running.run,
+        worker.registration.id,
+        running.checkpoint,
+        start_evidence::status);
     workers_.add_run(worker, std::move(run));
     if (outcome == adoption::adopted)
     {
--- a/src/fleet/owner_ends.cpp
+++ b/src/fleet/owner_ends.cpp
@@ -10,7 +10,7 @@
 
 void fleet_owner::apply_end(worker_entry& worker, const ended_run& ended)
 {
-    jobs_.confirm_start(ended.task.step.job);
+    jobs_.confirm_start(ended.task.step.job, start_evidence::end);
     end_run(worker, ended.task, ended.run, ended.how, ended.checkpoint);
     if (ended.how == run_end::done)
     {
--- a/src/fleet/owner_jobs.cpp
+++ b/src/fleet/owner_jobs.cpp
@@ -1,5 +1,8 @@
+#include "fleet/event_text.hpp"
 #include "fleet/owner.hpp"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <algorithm>
 
 namespace acaciastile::fleet
@@ -119,16 +122,17 @@
 
 void fleet_owner::tail_jobs(std::size_t topic)
 {
+    const instant sent = ports_.clock.now_with_suspends();
     ports_.store.read(
         topics::job_topics[topic],
         jobs_next_[topic],
         settings_.jobs_read_wait,
         guarded(
-            [topic](fleet_owner& self, const result<store_page>& page)
+            [topic, sent](fleet_owner& self, const result<store_page>& page)
             {
                 if (page)
                 {
-                    self.apply_jobs_page(topic, *page);
+                    self.apply_jobs_page(topic, *page, sent);
                     self.tail_jobs_later(
                         topic,
                         page->is_last() ? self.settings_.jobs_read_interval
@@ -139,17 +143,19 @@
                 {
                     // The store always keeps the newest record of each key, so
                     // reading those misses no job.
+                    const instant asked = self.ports_.clock.now_with_suspends();
                     self.ports_.store.read_newest(
                         topics::job_topics[topic],
                         {},
                         self.guarded(
-                            [topic](
+                            [topic, asked](
                                 fleet_owner& owner,
                                 const result<store_page>& newest)
                             {
                                 if (newest)
                                 {
-                                    owner.apply_jobs_page(topic, *newest);
+                                    owner.apply_jobs_page(
+                                        topic, *newest, asked);
                                 }
                                 owner.tail_jobs_later(
                                     topic, owner.settings_.store_retry_delay);
@@ -160,7 +166,8 @@
             }));
 }
 
-void fleet_owner::apply_jobs_page(std::size_t topic, const store_page& page)
+void fleet_owner::apply_jobs_page(
+    std::size_t topic, const store_page& page, instant sent)
 {
     const bool inherited = may_be_inherited();
     for (const store_record& record : page.records)
@@ -168,6 +175,10 @@
         apply_job_record(topic, record, inherited);
     }
     jobs_next_[topic] = std::max(jobs_next_[topic], page.end);
+    if (page.is_last())
+    {
+        jobs_known_until_[topic] = std::max(jobs_known_until_[topic], sent);
+    }
     if (!page.records.empty())
     {
         schedule_round();
@@ -224,14 +235,55 @@
     }
 }
 
+milliseconds fleet_owner::age_of_jobs() const
+{
+    return ports_.clock.now_with_suspends() -
+           *std::min_element(
+               jobs_known_until_.begin(), jobs_known_until_.end());
+}
+
+void fleet_owner::report_count(
+    const queue_name& queue, const waiting_count& count)
+{
+    const instant now = ports_.clock.now_with_suspends();
+    const std::string ages = absl::StrJoin(
+        jobs_known_until_,
+        ",",
+        [now](std::string* out, instant until)
+        { absl::StrAppend(out, text_of(now - until)); });
+    const start_counts starts = jobs_.starts_in(queue);
+    std::string started;
+    for (std::size_t kind = 1; kind < starts.size(); ++kind)
+    {
+        absl::StrAppend(
+            &started,
+            started.empty() ? "" : ",",
+            std::string(name_of(static_cast<start_evidence>(kind))),
+            ":",
+            starts[kind]);
+    }
+    ports_.metrics.sample(
+        "fleet_count_age_ms", "", static_cast<double>(count.age.count()));
+    ports_.events.emit(
+        {event_number::jobs_counted,
+         {{"queue", queue.str()},
+          {"waiting", std::to_string(count.waiting)},
+          {"started", started},
+          {"topic_ages_ms", ages},
+          {"confirmed_ms",
+           confirmed_by_store_ ? text_of(now - *confirmed_by_store_) : ""},
+          {"fence", std::to_string(token_)}}});
+}
+
 void fleet_owner::read_jobs_now(std::size_t topic, completion<void> done)
 {
+    const instant sent = ports_.clock.now_with_suspends();
     ports_.store.read(
         topics::job_topics[topic],
         jobs_next_[topic],
         milliseconds::zero(),
         guarded(
-            [topic, done = std::move(done)](
+            [topic, sent, done = std::move(done)](
                 fleet_owner& self, const result<store_page>& page)
             {
                 if (!page)
@@ -239,7 +291,7 @@
                     done(tl::unexpected(page.error()));
                     return;
                 }
-                self.apply_jobs_page(topic, *page);
+                self.apply_jobs_page(topic, *page, sent);
                 if (!page->is_last())
                 {
                     self.read_jobs_now(topic, done);
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -173,6 +173,8 @@
 struct fleet_owner::loading
 {
     std::array<std::optional<store_page>, topics::job_topics.size()> jobs;
+    /// When the reads of the jobs were sent.
+    std::array<instant, topics::job_topics.size()> jobs_asked{};
     std::optional<store_page> progress;
     std::optional<store_page> registry;
     std::optional<registry_history> history;
@@ -209,6 +211,7 @@
     // such a job is kept until the job is read.
     for (std::size_t topic = 0; topic < topics::job_topics.size(); ++topic)
     {
+        loading_->jobs_asked[topic] = ports_.clock.now_with_suspends();
         load_newest(
             topics::job_topics[topic],
             [topic](loading& read) -> std::optional<store_page>&
@@ -403,6 +406,7 @@
     for (std::size_t topic = 0; topic < read->jobs.size(); ++topic)
     {
         jobs_next_[topic] = read->jobs[topic]->end;
+        jobs_known_until_[topic] = read->jobs_asked[topic];
         for (const store_record& record : read->jobs[topic]->records)
         {
             apply_job_record(topic, record, true);
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -118,7 +118,7 @@
     if (answer && !answer->refusal)
     {
         // Also if the run is not known any more: it has started.
-        jobs_.confirm_start(decision.task.step.job);
+        jobs_.confirm_start(decision.task.step.job, start_evidence::answer);
         if (step_entry* step = jobs_.find(decision.task.step))
         {
             step->rejections.clear();
--- a/src/observe/metric_kind.hpp
+++ b/src/observe/metric_kind.hpp
@@ -81,6 +81,11 @@
      metric_type::counter,
      "reason",
      "Calls of clients that were refused, by reason."},
+    {"fleet_count_age_ms",
+     metric_type::distribution,
+     "",
+     "Age in milliseconds of what the owner knew of the stored jobs when it "
+     "counted those that wait."},
     {"fleet_starts", metric_type::counter, "", "Runs that were ordered."},
     {"fleet_starts_refused",
      metric_type::counter,
--- a/tests/fleet/waiting_jobs_test.cpp
+++ b/tests/fleet/waiting_jobs_test.cpp
@@ -13,7 +13,16 @@
 
 std::size_t pending(const fleet_world& world)
 {
-    return world.owner()->pending(queue_name("work"));
+    std::optional<std::size_t> counted;
+    world.owner()->count_waiting(
+        queue_name("work"),
+        [&](const result<fleet::waiting_count>& count)
+        {
+            REQUIRE(count);
+            counted = count->waiting;
+        });
+    REQUIRE(counted);
+    return *counted;
 }
 
 fleet::job_state state(const fleet_world& world)
