--- a/src/standin/memory_store.cpp
+++ b/src/standin/memory_store.cpp
@@ -184,12 +184,12 @@
     instant until,
     fleet::completion<fleet::store_page> done)
 {
-    if (mode() == store_mode::refusing)
+    if (read_mode(topic) == store_mode::refusing)
     {
         done(unavailable(verdict::not_run));
         return;
     }
-    if (mode() == store_mode::silent)
+    if (read_mode(topic) == store_mode::silent)
     {
         store_.clock_.after(
             answer_timeout,
--- a/src/standin/memory_store.hpp
+++ b/src/standin/memory_store.hpp
@@ -98,6 +98,10 @@
     bool requests_rejected = false;
     /// The store rejects the appends of this VM to these topics.
     std::set<std::string> rejected_appends;
+    /// The store rejects the reads of this VM from these topics.
+    std::set<std::string> rejected_reads;
+    /// Reads of this VM from these topics get no reply.
+    std::set<std::string> silent_reads;
 
     void append(
         const std::string& topic,
@@ -124,6 +128,12 @@
     {
         return requests_rejected ? store_mode::refusing : store_.mode;
     }
+    [[nodiscard]] store_mode read_mode(const std::string& topic) const
+    {
+        return rejected_reads.contains(topic) ? store_mode::refusing
+               : silent_reads.contains(topic) ? store_mode::silent
+                                              : mode();
+    }
 
     memory_store& store_;
 };
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -220,7 +220,8 @@
 void fleet_world::submit(
     const std::string& id,
     std::vector<fleet::step_spec> steps,
-    const std::string& account)
+    const std::string& account,
+    const std::string& topic)
 {
     fleet::accepted_job job;
     job.id = job_id(id);
@@ -236,7 +237,7 @@
     {
         specs[{job.id, 0, n}] = job.request.steps[n];
     }
-    store.put(fleet::topics::jobs, id, encode(job));
+    store.put(topic, id, encode(job));
 }
 
 bool fleet_world::run_until(
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -114,11 +114,12 @@
     void resize_worker(const std::string& id, std::int64_t cores);
 
     /// Stores a job as the VM that accepts it does; the owner reads it from the
-    /// jobs topic.
+    /// topic of jobs.
     void submit(
         const std::string& id,
         std::vector<fleet::step_spec> steps,
-        const std::string& account = "acct");
+        const std::string& account = "acct",
+        const std::string& topic = fleet::topics::jobs);
     void run(milliseconds span) { clock.advance(span); }
     /// Advances the clock until the job is reported in the given state; returns
     /// false if that takes longer than `most`.
