--- a/src/fleet/job_tracker.cpp
+++ b/src/fleet/job_tracker.cpp
@@ -36,6 +36,7 @@
     entry->account_index = accounts_.index_of(entry->job.account);
     entry->open_position = open_.size();
     open_.push_back(entry.get());
+    ++counts_of(*entry)[static_cast<std::size_t>(start_evidence::none)];
     if (entry->job.request.occurrences == 0)
     {
         open_occurrence(*entry, now);
@@ -179,9 +180,10 @@
     }
     job.state = progress.state;
     job.reported_state = progress.state;
-    job.started_by = progress.state == job_state::queued
-                         ? start_evidence::none
-                         : start_evidence::stored;
+    set_evidence(
+        job,
+        progress.state == job_state::queued ? start_evidence::none
+                                            : start_evidence::stored);
     job.ended = progress.ended;
     job.excess = progress.excess;
     if (job.is_final())
@@ -259,7 +261,7 @@
     if (job != nullptr && job->state == job_state::queued &&
         evidence != start_evidence::none)
     {
-        job->started_by = evidence;
+        set_evidence(*job, evidence);
         job->state = job_state::running;
         job->reported_state = job_state::running;
     }
@@ -527,12 +529,18 @@
     close(job);
 }
 
+bool job_tracker::is_open(const job_entry& job) const
+{
+    return job.open_position < open_.size() && open_[job.open_position] == &job;
+}
+
 void job_tracker::close(job_entry& job)
 {
-    if (job.open_position >= open_.size() || open_[job.open_position] != &job)
+    if (!is_open(job))
     {
-        return; // It is closed already.
+        return;
     }
+    --counts_of(job)[static_cast<std::size_t>(job.started_by)];
     open_[job.open_position] = open_.back();
     open_[job.open_position]->open_position = job.open_position;
     open_.pop_back();
@@ -605,33 +613,38 @@
     return taken;
 }
 
+start_counts& job_tracker::counts_of(const job_entry& job)
+{
+    if (open_counts_.size() <= job.queue_index)
+    {
+        open_counts_.resize(std::size_t{job.queue_index} + 1);
+    }
+    return open_counts_[job.queue_index];
+}
+
+void job_tracker::set_evidence(job_entry& job, start_evidence evidence)
+{
+    if (is_open(job))
+    {
+        start_counts& counts = counts_of(job);
+        --counts[static_cast<std::size_t>(job.started_by)];
+        ++counts[static_cast<std::size_t>(evidence)];
+    }
+    job.started_by = evidence;
+}
+
 std::size_t job_tracker::pending(const queue_name& queue) const
 {
-    const auto& names = queue_names();
-    const auto known = std::find(names.begin(), names.end(), queue);
-    const auto index = static_cast<std::uint32_t>(known - names.begin());
-    return static_cast<std::size_t>(std::count_if(
-        open_.begin(),
-        open_.end(),
-        [&](const job_entry* job) {
-            return job->queue_index == index && job->state == job_state::queued;
-        }));
+    return starts_in(queue)[static_cast<std::size_t>(start_evidence::none)];
 }
 
 start_counts job_tracker::starts_in(const queue_name& queue) const
 {
     const auto& names = queue_names();
     const auto known = std::find(names.begin(), names.end(), queue);
-    const auto index = static_cast<std::uint32_t>(known - names.begin());
-    start_counts counts{};
-    for (const job_entry* job : open_)
-    {
-        if (job->queue_index == index)
-        {
-            ++counts[static_cast<std::size_t>(job->started_by)];
-        }
-    }
-    return counts;
+    return known == names.end()
+               ? start_counts{}
+               : open_counts_[static_cast<std::size_t>(known - names.begin())];
 }
 
 void job_tracker::note_end_stored(job_entry& job, job_state state, instant now)
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -309,6 +309,12 @@
     [[nodiscard]] std::vector<job_id> forget_ended(instant before);
 
 private:
+    /// The numbers of open jobs of the job's queue.
+    [[nodiscard]] start_counts& counts_of(const job_entry& job);
+    /// True if the job is one of `open`.
+    [[nodiscard]] bool is_open(const job_entry& job) const;
+    /// Changes what shows that a job has started.
+    void set_evidence(job_entry& job, start_evidence evidence);
     job_entry& add_ended(const job_id& id, const job_progress& progress);
     void apply_progress(job_entry& job, const job_progress& progress);
     void open_occurrence(job_entry& job, instant now);
@@ -341,6 +347,7 @@
     name_table<queue_name> queues_;
     name_table<account_name> accounts_;
     std::vector<job_entry*> open_;
+    std::vector<start_counts> open_counts_; ///< By queue.
     /// Open jobs that have occurrences in the future.
     std::vector<job_entry*> recurring_;
     std::vector<job_entry*> changed_;
