--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -25,6 +25,11 @@
 /// Maximum size of a response header.
 constexpr std::uint32_t header_limit_bytes = 16U << 10U;
 
+/// Largest piece in which a response is read.
+constexpr std::size_t read_piece_bytes = 64U << 10U;
+/// A pooled connection keeps no larger buffer.
+constexpr std::size_t idle_buffer_bytes = 4U << 10U;
+
 /// Sets what HTTP asks for in each request.
 void complete(http_request& request, const endpoint& target)
 {
@@ -152,6 +157,10 @@
 void http_client::return_to_pool(const endpoint& target, connection_ptr idle)
 {
     idle->idle_since = timers_.now();
+    if (idle->buffer.size() == 0 && idle->buffer.capacity() > idle_buffer_bytes)
+    {
+        idle->buffer.shrink_to_fit();
+    }
     auto& kept = idle_[target];
     kept.push_back(std::move(idle));
     while (kept.size() > settings_.idle_per_endpoint)
@@ -323,7 +332,7 @@
     const http_request& message,
     transfer_end done)
 {
-    auto received = [call_state, done](error_code failed, std::size_t)
+    auto received = [call_state, done](error_code failed)
     {
         if (!call_state->finished)
         {
@@ -334,21 +343,44 @@
     {
         if (failed)
         {
-            received(failed, 0);
+            received(failed);
             return;
         }
         call_state->parser.emplace();
+        call_state->parser->eager(true);
         call_state->parser->body_limit(settings_.body_limit);
         call_state->parser->header_limit(header_limit_bytes);
-        http::async_read(
-            call_state->conn->socket,
-            call_state->conn->buffer,
-            *call_state->parser,
-            received);
+        read_response(call_state, received);
     };
     http::async_write(call_state->conn->socket, message, written);
 }
 
+void http_client::read_response(
+    const exchange_ptr& call_state, const transfer_end& done)
+{
+    http::async_read_some(
+        call_state->conn->socket,
+        call_state->conn->buffer,
+        *call_state->parser,
+        [this, call_state, done](error_code failed, std::size_t)
+        {
+            if (failed || call_state->finished || call_state->parser->is_done())
+            {
+                done(failed);
+                return;
+            }
+            // A read fills the free part of the buffer. In pieces of its first
+            // size a large body would take thousands of turns of the loop.
+            const auto left = call_state->parser->content_length_remaining();
+            if (left && *left > call_state->conn->buffer.capacity())
+            {
+                call_state->conn->buffer.reserve(static_cast<std::size_t>(
+                    std::min<std::uint64_t>(*left, read_piece_bytes)));
+            }
+            read_response(call_state, done);
+        });
+}
+
 void http_client::release(
     const exchange_ptr& call_state, const http_response& response)
 {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -93,6 +93,9 @@
         const exchange_ptr& call_state,
         const http_request& message,
         transfer_end done);
+    /// Reads what is left of a response into the call's parser.
+    void
+    read_response(const exchange_ptr& call_state, const transfer_end& done);
     void finish(const exchange_ptr& call_state, http_outcome outcome);
     /// As above, for a call whose request got no response.
     void finish_unanswered(const exchange_ptr& call_state, std::string failure);
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -74,6 +74,37 @@
     CHECK(at.client.counts().connects == 1);
 }
 
+// Guards against a large answer that does not arrive in time in a busy process:
+// it was read in pieces of 512 bytes, one in each turn of the event loop.
+TEST_CASE("a large answer is read in large pieces", "[net]")
+{
+    constexpr std::size_t body_bytes = 1U << 20U;
+    constexpr std::size_t least_piece = 4U << 10U;
+    fixture at;
+    at.handler = [](const http_request&, const http_responder& respond)
+    {
+        http_response response;
+        response.body() = std::string(body_bytes, 'x');
+        respond(std::move(response));
+    };
+    at.listen();
+    std::optional<http_outcome> outcome;
+    at.client.call(
+        at.address,
+        {http::verb::get, "/", 11},
+        5s,
+        true,
+        [&](http_outcome told) { outcome = std::move(told); });
+    std::size_t turns = 0;
+    while (!outcome)
+    {
+        turns += at.loop.run_one();
+    }
+    REQUIRE(outcome->answered());
+    CHECK(outcome->response.body().size() == body_bytes);
+    CHECK(turns <= body_bytes / least_piece);
+}
+
 TEST_CASE("a refused connection means that the call did not run", "[net]")
 {
     fixture at;
