--- a/src/domain/event_number.hpp
+++ b/src/domain/event_number.hpp
@@ -101,6 +101,8 @@
     jobs_counted = 6049,
     lines_dropped = 6050,
     count_given = 6051,
+    count_refused = 6052,
+    jobs_unread = 6053,
     // HTTP entry.
     listening = 4000,
     certificates_reloaded = 4001,
@@ -221,6 +223,8 @@
     {event_number::jobs_counted, event_level::info, "jobs_counted"},
     {event_number::lines_dropped, event_level::warn, "lines_dropped"},
     {event_number::count_given, event_level::info, "count_given"},
+    {event_number::count_refused, event_level::info, "count_refused"},
+    {event_number::jobs_unread, event_level::warn, "jobs_unread"},
     {event_number::listening, event_level::info, "listening"},
     {event_number::certificates_reloaded,
      event_level::info,
--- a/src/edge/edge_process.cpp
+++ b/src/edge/edge_process.cpp
@@ -491,7 +491,15 @@
                 done(tl::unexpected(count.error()));
                 return;
             }
-            report_count(queue, *count, clock_->now_with_suspends() - asked);
+            // This VM may have stood still while it waited.
+            const milliseconds took = clock_->now_with_suspends() - asked;
+            if (count->age + took > fleet::longest_count_age)
+            {
+                done(
+                    refuse(refusal_code::no_owner, "the count is out of date"));
+                return;
+            }
+            report_count(queue, *count, took);
             done(count->waiting);
         });
 }
--- a/src/fleet/front_service.hpp
+++ b/src/fleet/front_service.hpp
@@ -37,7 +37,8 @@
     /// Cancels a job; completes with false if it is unknown.
     virtual void
     cancel(const job_id& id, milliseconds deadline, completion<bool> done) = 0;
-    /// Number of a queue's jobs of which no task has started.
+    /// Number of a queue's jobs of which no task has started, at most
+    /// `longest_count_age` ago. Errors: also if no such count can be had.
     virtual void pending(
         const queue_name& queue,
         milliseconds deadline,
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -398,9 +398,24 @@
         done(refuse(refusal_code::no_owner, "the owner is loading"));
         return;
     }
-    const waiting_count count{jobs_.pending(queue), age_of_jobs()};
-    report_count(queue, count);
-    done(count);
+    if (age_of_jobs() <= settings_.count_without_read ||
+        age_of_ownership() > settings_.oldest_count || are_jobs_out_of_reach())
+    {
+        done(count_known(queue));
+        return;
+    }
+    done = complete_on_drop(std::move(done), owner_ended());
+    read_jobs_now(
+        [this, queue, done = std::move(done)](const result<void>& read)
+        {
+            if (!read)
+            {
+                report_refused_count(queue, "store");
+                done(tl::unexpected(read.error()));
+                return;
+            }
+            done(count_known(queue));
+        });
 }
 
 void fleet_owner::cancel(const job_id& id, completion<bool> done)
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -68,6 +68,10 @@
 /// of its predecessor to end, as it does for a worker that it cannot reach.
 inline constexpr std::size_t max_unreadable_keys = 256;
 
+/// How old a count of waiting jobs may be when a caller gets it, as the users'
+/// interface states. An older one is refused.
+inline constexpr milliseconds longest_count_age{2'000};
+
 struct owner_settings
 {
     instance_id vm; ///< The VM that this owner runs on.
@@ -140,6 +144,12 @@
     /// more often than every `status_kept`, an ended job is kept for up to this
     /// time longer.
     milliseconds wall_clock_error{300'000};
+    /// Waiting jobs are counted from what is known if that is no older; else
+    /// the store is read first.
+    milliseconds count_without_read{1'000};
+    /// An older count is not given: the rest of `longest_count_age` is for its
+    /// way to the caller.
+    milliseconds oldest_count{1'500};
     /// Time between two records of the learnt speeds of workers. A successor
     /// learns anew what the last one does not tell.
     milliseconds speeds_interval{5'000};
@@ -215,7 +225,9 @@
     /// before it can answer.
     void look_up(const job_id& id, completion<job_view> done);
     /// Counts the jobs in a queue of which no task is known to have started.
-    /// Errors: `no_owner` while the owner is loading.
+    /// Reads the topics of jobs first if what is known of them is old. Errors:
+    /// `no_owner` while the owner is loading, or if nothing has confirmed it
+    /// lately; `log_unavailable` if the store does not answer in time.
     void count_waiting(const queue_name& queue, completion<waiting_count> done);
 
     /// Records that the store has taken a claim, a renewal or progress of this
@@ -362,6 +374,16 @@
     void read_jobs_for_waiting();
     /// Time since the store was asked for the jobs that are known by now.
     [[nodiscard]] milliseconds age_of_jobs() const;
+    /// Time since there was evidence that this VM owns the fleet.
+    [[nodiscard]] milliseconds age_of_ownership();
+    /// True if a topic of jobs is known to be unreadable and its jobs are old.
+    [[nodiscard]] bool are_jobs_out_of_reach() const;
+    /// Counts the waiting jobs from what is known, or refuses if that is old.
+    [[nodiscard]] result<waiting_count> count_known(const queue_name& queue);
+    /// Logs that a topic of jobs was not read to its end, if its jobs are old.
+    void report_unread_jobs(std::size_t topic, const std::string& reason);
+    /// Counts a refusal by what was too old: `store` or `ownership`.
+    void report_refused_count(const queue_name& queue, std::string_view reason);
     /// Logs a count of waiting jobs with what it rests on.
     void report_count(const queue_name& queue, const waiting_count& count);
     /// As above, for one topic.
@@ -716,6 +738,8 @@
     /// that reached the topic's end was sent. By
     /// `scheduler_clock::now_with_suspends`.
     std::array<instant, topics::job_topics.size()> jobs_known_until_{};
+    /// The last read of the topic failed.
+    std::array<bool, topics::job_topics.size()> jobs_unreadable_{};
     log_offset registry_next_ = 0; ///< Next offset to read.
     /// Keys of entries of the registry that were reported as unusable.
     std::set<std::string> refused_registrations_;
--- a/src/fleet/owner_jobs.cpp
+++ b/src/fleet/owner_jobs.cpp
@@ -133,6 +133,10 @@
                 if (page)
                 {
                     self.apply_jobs_page(topic, *page, sent);
+                    if (!page->is_last())
+                    {
+                        self.report_unread_jobs(topic, "more records follow");
+                    }
                     self.tail_jobs_later(
                         topic,
                         page->is_last() ? self.settings_.jobs_read_interval
@@ -152,6 +156,7 @@
                                 fleet_owner& owner,
                                 const result<store_page>& newest)
                             {
+                                owner.jobs_unreadable_[topic] = !newest;
                                 if (newest)
                                 {
                                     owner.apply_jobs_page(
@@ -162,10 +167,28 @@
                             }));
                     return;
                 }
+                self.report_unread_jobs(topic, page.error().message);
+                self.jobs_unreadable_[topic] = true;
                 self.tail_jobs_later(topic, self.settings_.store_retry_delay);
             }));
 }
 
+void fleet_owner::report_unread_jobs(
+    std::size_t topic, const std::string& reason)
+{
+    const milliseconds age =
+        ports_.clock.now_with_suspends() - jobs_known_until_[topic];
+    if (age > settings_.count_without_read)
+    {
+        ports_.events.emit(
+            {event_number::jobs_unread,
+             {{"topic", topics::job_topics[topic]},
+              {"reason", reason},
+              {"age_ms", text_of(age)},
+              {"from", std::to_string(jobs_next_[topic])}}});
+    }
+}
+
 void fleet_owner::apply_jobs_page(
     std::size_t topic, const store_page& page, instant sent)
 {
@@ -174,6 +197,7 @@
     {
         apply_job_record(topic, record, inherited);
     }
+    jobs_unreadable_[topic] = false;
     jobs_next_[topic] = std::max(jobs_next_[topic], page.end);
     if (page.is_last())
     {
@@ -242,6 +266,63 @@
                jobs_known_until_.begin(), jobs_known_until_.end());
 }
 
+milliseconds fleet_owner::age_of_ownership()
+{
+    const milliseconds by_store =
+        confirmed_by_store_
+            ? ports_.clock.now_with_suspends() - *confirmed_by_store_
+            : milliseconds::max();
+    return by_store > settings_.store_confirmation && is_confirmed()
+               ? settings_.worker_confirmation
+               : by_store;
+}
+
+bool fleet_owner::are_jobs_out_of_reach() const
+{
+    const instant now = ports_.clock.now_with_suspends();
+    for (std::size_t topic = 0; topic < jobs_unreadable_.size(); ++topic)
+    {
+        if (jobs_unreadable_[topic] &&
+            now - jobs_known_until_[topic] > settings_.count_without_read)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+result<waiting_count> fleet_owner::count_known(const queue_name& queue)
+{
+    const milliseconds ownership = age_of_ownership();
+    const waiting_count count{
+        jobs_.pending(queue), std::max(age_of_jobs(), ownership)};
+    if (count.age <= settings_.oldest_count)
+    {
+        report_count(queue, count);
+        return count;
+    }
+    if (ownership > settings_.oldest_count)
+    {
+        report_refused_count(queue, "ownership");
+        return refuse(refusal_code::no_owner, "the ownership is not confirmed");
+    }
+    report_refused_count(queue, "store");
+    return refuse(
+        refusal_code::log_unavailable, "the stored jobs cannot be read");
+}
+
+void fleet_owner::report_refused_count(
+    const queue_name& queue, std::string_view reason)
+{
+    ports_.metrics.count("fleet_counts_refused", reason, 1);
+    ports_.events.emit(
+        {event_number::count_refused,
+         {{"queue", queue.str()},
+          {"reason", std::string(reason)},
+          {"age_ms", text_of(age_of_jobs())},
+          {"fence", std::to_string(token_)}}});
+}
+
 void fleet_owner::report_count(
     const queue_name& queue, const waiting_count& count)
 {
@@ -288,6 +369,8 @@
             {
                 if (!page)
                 {
+                    self.jobs_unreadable_[topic] =
+                        page.error().code != refusal_code::offset_expired;
                     done(tl::unexpected(page.error()));
                     return;
                 }
--- a/src/observe/metric_kind.hpp
+++ b/src/observe/metric_kind.hpp
@@ -86,6 +86,10 @@
      "",
      "Age in milliseconds of what the owner knew of the stored jobs when it "
      "counted those that wait."},
+    {"fleet_counts_refused",
+     metric_type::counter,
+     "reason",
+     "Counts of waiting jobs that the owner refused, by what was too old."},
     {"fleet_starts", metric_type::counter, "", "Runs that were ordered."},
     {"fleet_starts_refused",
      metric_type::counter,
--- a/tests/fleet/waiting_count_test.cpp
+++ b/tests/fleet/waiting_count_test.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// How old a count of waiting jobs may be when the owner gives it.
-constexpr milliseconds longest_age{2'000};
-
 using answered_count = std::optional<result<fleet::waiting_count>>;
 
 /// Asks an owner for the count of waiting jobs. The answer may come later.
@@ -34,7 +31,7 @@
 // before.
 TEST_CASE(
     "a count of waiting jobs leaves out no topic that the owner does not hear",
-    "[fleet][known-red]")
+    "[fleet]")
 {
     const std::string topic = GENERATE(from_range(
         fleet::topics::job_topics.begin(), fleet::topics::job_topics.end()));
@@ -65,14 +62,13 @@
     REQUIRE(*counted);
     REQUIRE(**counted);
     CHECK((**counted)->waiting == jobs);
-    CHECK((**counted)->age <= longest_age);
+    CHECK((**counted)->age <= fleet::longest_count_age);
 }
 
 // Guards against a count from the memory of a process that stood still: it
 // answers, before anything else, from what it knew before.
 TEST_CASE(
-    "an owner that stood still gives no count from before its pause",
-    "[fleet][known-red]")
+    "an owner that stood still gives no count from before its pause", "[fleet]")
 {
     constexpr std::size_t jobs = 5;
     fleet_world world(3, 0);
--- a/tests/fleet/waiting_jobs_test.cpp
+++ b/tests/fleet/waiting_jobs_test.cpp
@@ -11,18 +11,26 @@
 
 const worker_id only_worker("w0");
 
-std::size_t pending(const fleet_world& world)
+/// The count of waiting jobs. The owner may read the store for it.
+std::size_t pending(fleet_world& world)
 {
-    std::optional<std::size_t> counted;
+    constexpr milliseconds store_read{20};
+    auto counted = std::make_shared<std::optional<std::size_t>>();
     world.owner()->count_waiting(
         queue_name("work"),
-        [&](const result<fleet::waiting_count>& count)
+        [counted](const result<fleet::waiting_count>& count)
         {
-            REQUIRE(count);
-            counted = count->waiting;
+            if (count)
+            {
+                *counted = count->waiting;
+            }
         });
-    REQUIRE(counted);
-    return *counted;
+    if (!*counted)
+    {
+        world.run(store_read);
+    }
+    REQUIRE(*counted);
+    return **counted;
 }
 
 fleet::job_state state(const fleet_world& world)
