--- a/tests/site/store_client_test.cpp
+++ b/tests/site/store_client_test.cpp
@@ -140,3 +140,38 @@
     REQUIRE_FALSE(expired.has_value());
     CHECK(fleet::first_kept(expired.error(), 0) == 5);
 }
+
+// Guards against a topic that is never read on: a page that does not arrive in
+// time was asked for again in the same size, for good.
+TEST_CASE("a page that is late is asked for again in a smaller size", "[site]")
+{
+    store_server at;
+    std::vector<int> asked;
+    const int fits = GENERATE(320, 512);
+    at.answer = [&](const net::http_request& request,
+                    const net::http_responder& respond)
+    {
+        const std::string target(request.target());
+        asked.push_back(std::stoi(target.substr(target.find("maxKb=") + 6)));
+        if (asked.back() <= fits)
+        {
+            respond(reply(200, std::string(16, '\0')));
+        }
+    };
+    const auto read = [&]
+    {
+        return at
+            .wait<fleet::store_page>(
+                [&](auto done) { at.store.read("keyed.jobs", 0, 0ms, done); })
+            .has_value();
+    };
+    int tries = 1;
+    while (!read())
+    {
+        REQUIRE(++tries <= 4);
+    }
+    CHECK(asked.front() == 1'024);
+    CHECK(asked.back() == fits);
+    static_cast<void>(read());
+    CHECK(asked.back() == fits * 2);
+}
