--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -24,6 +24,9 @@
 
 /// Maximum size of a response header.
 constexpr std::uint32_t header_limit_bytes = 16U << 10U;
+/// Most bytes of a response that cannot be parsed one by one: its header, the
+/// size line of a chunk, or the last chunk with all trailers.
+constexpr std::size_t unparsed_limit_bytes = 64U << 10U;
 
 /// Largest piece in which a response is read.
 constexpr std::size_t read_piece_bytes = 64U << 10U;
@@ -47,7 +50,10 @@
 class http_client::connection
 {
 public:
-    explicit connection(boost::asio::io_context& loop) : socket(loop) {}
+    explicit connection(boost::asio::io_context& loop)
+        : socket(loop), buffer(unparsed_limit_bytes)
+    {
+    }
 
     void close()
     {
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -1,8 +1,10 @@
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <thread>
 
 using namespace acaciastile;
 using namespace acaciastile::net;
@@ -513,3 +515,36 @@
     }
     CHECK(order == "ab");
 }
+
+// Guards against a process that runs out of memory over an answer: a worker, a
+// peer or the store sends trailers without end.
+TEST_CASE("an answer with trailers without end fails", "[net]")
+{
+    constexpr std::size_t most = 64U << 20U;
+    // What the sockets of the two sides may hold.
+    constexpr std::size_t in_transit = 16U << 20U;
+    fixture at;
+    boost::asio::ip::tcp::acceptor acceptor(
+        at.loop, {boost::asio::ip::make_address("127.0.0.1"), at.address.port});
+    std::size_t sent = 0;
+    std::thread sender(
+        [&]
+        {
+            boost::asio::ip::tcp::socket socket = acceptor.accept();
+            const std::string first =
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "1\r\nx\r\n0\r\nSome-Trailer: ";
+            const std::string more(64U << 10U, 'v');
+            boost::system::error_code failed;
+            boost::asio::write(socket, boost::asio::buffer(first), failed);
+            while (!failed && sent < most)
+            {
+                sent += boost::asio::write(
+                    socket, boost::asio::buffer(more), failed);
+            }
+        });
+    const http_outcome outcome = at.call("x", 10s, false);
+    sender.join();
+    CHECK_FALSE(outcome.answered());
+    CHECK(sent <= in_transit);
+}
