--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.hpp"
 
+#include "net/counted_stream.hpp"
+
 #include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <iterator>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -51,7 +54,7 @@
 {
 public:
     explicit connection(boost::asio::io_context& loop)
-        : socket(loop), buffer(unparsed_limit_bytes)
+        : socket(loop), stream(socket), buffer(unparsed_limit_bytes)
     {
     }
 
@@ -62,6 +65,7 @@
     }
 
     tcp::socket socket;
+    counted_stream stream;
     beast::flat_buffer buffer;
     instant idle_since{};
     std::uint64_t peer = 0; ///< Identity of the process; zero if not known.
@@ -353,9 +357,10 @@
             return;
         }
         call_state->parser.emplace();
-        call_state->parser->eager(true);
+        call_state->parser->eager(false); // The header ends a read of its own.
         call_state->parser->body_limit(settings_.body_limit);
         call_state->parser->header_limit(header_limit_bytes);
+        call_state->conn->stream.restart(header_limit_bytes);
         read_response(call_state, received);
     };
     http::async_write(call_state->conn->socket, message, written);
@@ -365,7 +370,7 @@
     const exchange_ptr& call_state, const transfer_end& done)
 {
     http::async_read_some(
-        call_state->conn->socket,
+        call_state->conn->stream,
         call_state->conn->buffer,
         *call_state->parser,
         [this, call_state, done](error_code failed, std::size_t)
@@ -375,6 +380,9 @@
                 done(failed);
                 return;
             }
+            call_state->parser->eager(true);
+            call_state->conn->stream.set_limit(
+                std::numeric_limits<std::uint64_t>::max());
             // A read fills the free part of the buffer. In pieces of its first
             // size a large body would take thousands of turns of the loop.
             const auto left = call_state->parser->content_length_remaining();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.hpp"
 
+#include "net/counted_stream.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -28,6 +30,22 @@
 /// An idle session keeps no larger buffer.
 constexpr std::size_t idle_buffer_bytes = 4U << 10U;
 
+/// Memory that one field of a header takes beside its text.
+constexpr std::size_t field_cost = 96;
+/// Memory for each byte of a header whose fields are as short as can be.
+constexpr std::size_t shortest_field_cost = field_cost / 4;
+
+/// Memory that the fields of a request take.
+std::size_t cost_of(const http_request& request)
+{
+    std::size_t bytes = field_cost;
+    for (const auto& each : request)
+    {
+        bytes += field_cost + each.name_string().size() + each.value().size();
+    }
+    return bytes;
+}
+
 std::uint32_t looks_in(milliseconds time, milliseconds interval)
 {
     return static_cast<std::uint32_t>(
@@ -59,8 +77,10 @@
     session(http_server& owner, tcp::socket socket)
         : owner_(&owner),
           socket_(std::move(socket)),
+          stream_(socket_),
           buffer_(owner.settings_.unparsed_limit)
     {
+        stream_.on_bytes = [this] { on_bytes(); };
     }
 
     void read()
@@ -70,12 +90,13 @@
         parser_->eager(false);
         parser_->header_limit(owner_->settings_.header_limit);
         parser_->body_limit(owner_->settings_.body_limit);
-        received_ = 0;
+        stream_.restart(owner_->settings_.header_limit);
+        fields_bytes_ = 0;
         if (buffer_.size() == 0 && buffer_.capacity() > idle_buffer_bytes)
         {
             buffer_.shrink_to_fit();
         }
-        enter(phase::idle);
+        enter(buffer_.size() == 0 ? phase::idle : phase::reading);
         read_some();
     }
 
@@ -100,6 +121,7 @@
     }
 
     [[nodiscard]] phase present() const noexcept { return phase_; }
+    [[nodiscard]] std::size_t held() const noexcept { return held_; }
     [[nodiscard]] std::uint64_t last_activity() const noexcept
     {
         return last_activity_;
@@ -108,16 +130,10 @@
     /// Notes a look at the sessions. Returns false if this one takes too long.
     [[nodiscard]] bool is_in_time()
     {
-        if (phase_ == phase::idle && buffer_.size() > 0 && !begun_)
-        {
-            begun_ = true; // A part of a header has arrived.
-            looks_ = 0;
-        }
         ++looks_;
         const http_server_settings& limits = owner_->settings_;
-        const milliseconds most = phase_ == phase::idle && !begun_
-                                      ? limits.idle_time
-                                      : limits.message_time;
+        const milliseconds most =
+            phase_ == phase::idle ? limits.idle_time : limits.message_time;
         return phase_ == phase::handling ||
                looks_ <= looks_in(most, limits.look_interval);
     }
@@ -127,22 +143,45 @@
     {
         phase_ = next;
         looks_ = 0;
-        begun_ = false;
         note_activity();
     }
 
     void note_activity()
     {
         last_activity_ = ++owner_->activity_;
-        hold(
-            (phase_ == phase::idle ? 0 : buffer_.capacity()) +
-            (parser_ ? parser_->get().body().size() : 0) + request_bytes_ +
-            response_.body().size());
+        std::size_t bytes =
+            fields_bytes_ + request_bytes_ + response_.body().size();
+        if (phase_ == phase::reading)
+        {
+            bytes += buffer_.capacity();
+            bytes += parser_->is_header_done()
+                         ? parser_->get().body().capacity()
+                         : stream_.received() * shortest_field_cost;
+        }
+        hold(bytes);
+    }
+
+    /// Called when bytes arrive, also within a header, of which the parser
+    /// tells only at its end.
+    void on_bytes()
+    {
+        if (owner_ == nullptr || !parser_ || !socket_.is_open())
+        {
+            return;
+        }
+        if (phase_ == phase::idle)
+        {
+            enter(phase::reading);
+        }
+        note_activity();
+        static_cast<void>(owner_->fit_memory());
     }
 
-    /// Accounts for the bytes that the session holds from now on.
+    /// Accounts for the bytes that the session holds from now on; none once it
+    /// is closed.
     void hold(std::size_t bytes)
     {
+        bytes = socket_.is_open() ? bytes : 0;
         owner_->held_bytes_ += bytes - held_;
         held_ = bytes;
     }
@@ -162,22 +201,21 @@
     void read_some()
     {
         http::async_read_some(
-            socket_,
+            stream_,
             buffer_,
             *parser_,
-            [self = shared_from_this()](error_code failed, std::size_t used)
-            { self->on_read(failed, used); });
+            [self = shared_from_this()](error_code failed, std::size_t)
+            { self->on_read(failed); });
     }
 
-    void on_read(error_code failed, std::size_t used)
+    void on_read(error_code failed)
     {
         if (owner_ == nullptr || !socket_.is_open())
         {
             return;
         }
-        received_ += used;
         if (failed == http::error::body_limit ||
-            received_ > owner_->settings_.message_limit)
+            (failed == http::error::header_limit && parser_->is_header_done()))
         {
             refuse(http::status::payload_too_large);
             return;
@@ -193,46 +231,39 @@
             close();
             return;
         }
-        if (!parser_->is_done())
+        if (parser_->is_done())
         {
-            if (phase_ == phase::idle)
-            {
-                enter(phase::reading);
-            }
-            parser_->eager(!parser_->chunked());
-            grow_buffer();
-            note_activity();
-            const auto self = shared_from_this();
-            static_cast<void>(owner_->fit_memory());
-            if (socket_.is_open())
-            {
-                read_some();
-            }
+            on_request();
             return;
         }
-        on_request();
+        if (fields_bytes_ == 0)
+        {
+            stream_.set_limit(owner_->settings_.message_limit);
+            fields_bytes_ = cost_of(parser_->get());
+            parser_->eager(!parser_->chunked());
+        }
+        grow_buffer();
+        note_activity();
+        read_some();
     }
 
     void on_request()
     {
-        busy_ = true;
-        ++owner_->active_requests_;
         http_request request = parser_->release();
         parser_.reset();
-        request_bytes_ = request.body().size();
+        fields_bytes_ = 0;
+        request_bytes_ = cost_of(request) + request.body().capacity();
         enter(phase::handling);
-        const unsigned version = request.version();
-        const bool keep = request.keep_alive();
         if (!owner_->fit_memory())
         {
-            // It was not handed on, so it has not run.
-            http_response refused;
-            refused.result(http::status::service_unavailable);
-            refused.set(http::field::retry_after, "1");
+            // No status is true here: a copy of the request may have run.
             owner_->report(connection_limit::memory);
-            send_response(std::move(refused), version, keep);
+            close();
             return;
         }
+        ++owner_->active_requests_;
+        const unsigned version = request.version();
+        const bool keep = request.keep_alive();
         owner_->handler_(
             std::move(request),
             [self = shared_from_this(), version, keep](http_response response)
@@ -243,7 +274,6 @@
     void refuse(http::status status)
     {
         owner_->report(connection_limit::size);
-        busy_ = true;
         ++owner_->active_requests_;
         http_response refused;
         refused.result(status);
@@ -267,8 +297,6 @@
             response_,
             [self = shared_from_this()](error_code failed, std::size_t)
             { self->on_response_sent(failed); });
-        // After the write has begun: an answer that is ready goes first.
-        static_cast<void>(owner_->fit_memory());
     }
 
     void on_response_sent(error_code failed)
@@ -277,11 +305,10 @@
         {
             return;
         }
-        busy_ = false;
         --owner_->active_requests_;
         const bool keep = response_.keep_alive();
         response_ = {};
-        if (failed || !keep)
+        if (failed || !keep || !socket_.is_open())
         {
             close();
             return;
@@ -291,17 +318,16 @@
 
     http_server* owner_; ///< Null after the server was destroyed.
     tcp::socket socket_;
+    counted_stream stream_;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     http_response response_;
     phase phase_ = phase::idle;
-    bool busy_ = false;
-    std::uint64_t received_ = 0;    ///< Bytes of the present message.
-    std::size_t request_bytes_ = 0; ///< Body of the request in hand.
+    std::size_t fields_bytes_ = 0;  ///< Header that was read; zero before.
+    std::size_t request_bytes_ = 0; ///< Of the request in hand.
     std::size_t held_ = 0;          ///< Counted in `held_bytes_`.
     std::uint64_t last_activity_ = 0;
     std::uint32_t looks_ = 0; ///< Looks since the present phase began.
-    bool begun_ = false;      ///< An idle session had a part of a header then.
 };
 
 result<std::unique_ptr<http_server>> http_server::create(
@@ -368,16 +394,20 @@
 void http_server::accept()
 {
     acceptor_.async_accept(
-        [this](error_code failed, tcp::socket socket)
+        [this, alive = std::weak_ptr<char>(alive_)](
+            error_code failed, tcp::socket socket)
         {
-            if (failed == boost::asio::error::operation_aborted)
+            if (alive.expired() || draining_)
             {
-                return; // The server is draining or destroyed.
+                return;
             }
             if (failed)
             {
                 // With no descriptor left the next try would fail at once.
-                make_room(connection_limit::places);
+                if (sessions_.size() > settings_.connections / 2)
+                {
+                    make_room(connection_limit::places);
+                }
                 accept_later();
                 return;
             }
@@ -390,9 +420,9 @@
 {
     accept_timer_.expires_after(accept_retry_delay);
     accept_timer_.async_wait(
-        [this](error_code stopped)
+        [this, alive = std::weak_ptr<char>(alive_)](error_code stopped)
         {
-            if (!stopped && !draining_)
+            if (!stopped && !alive.expired() && !draining_)
             {
                 accept();
             }
@@ -420,7 +450,8 @@
     std::shared_ptr<session> chosen;
     for (const std::shared_ptr<session>& each : sessions_)
     {
-        if (each->present() == session::phase::handling)
+        if (each->present() == session::phase::handling ||
+            (reason == connection_limit::memory && each->held() == 0))
         {
             continue;
         }
@@ -469,9 +500,9 @@
     }
     look_timer_.expires_after(settings_.look_interval);
     look_timer_.async_wait(
-        [this](error_code stopped)
+        [this, alive = std::weak_ptr<char>(alive_)](error_code stopped)
         {
-            if (!stopped)
+            if (!stopped && !alive.expired())
             {
                 look();
             }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -120,6 +120,8 @@
     std::uint64_t activity_ =
         0; ///< Counts reads and writes, to order sessions.
     bool draining_ = false;
+    /// Expires with the server, for handlers that are queued by then.
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
 } // namespace acaciastile::net
--- a/tests/clients/crowd_test.cpp
+++ b/tests/clients/crowd_test.cpp
@@ -138,6 +138,15 @@
     check_bears({post, repeat("Some-Header: value\r\n", piece)});
 }
 
+// Guards against a process that runs out of memory: the parser took each line
+// of a header as it came, and bounded only what was left over. The lines here
+// end one byte before the end of each read of 512 bytes.
+TEST_CASE("clients send tiny header lines without end", "[clients]")
+{
+    check_bears(
+        {"POST /a/0123456789abcdef HTTP/1.1\r\n", repeat("a:\r\n", piece)});
+}
+
 TEST_CASE("clients send bodies without end", "[clients]")
 {
     check_bears(
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 
+#include <array>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
@@ -548,3 +549,31 @@
     CHECK_FALSE(outcome.answered());
     CHECK(sent <= in_transit);
 }
+
+TEST_CASE("a large answer in chunks is read", "[net]")
+{
+    constexpr int chunks = 200;
+    fixture at;
+    boost::asio::ip::tcp::acceptor acceptor(
+        at.loop, {boost::asio::ip::make_address("127.0.0.1"), at.address.port});
+    std::thread sender(
+        [&]
+        {
+            boost::asio::ip::tcp::socket socket = acceptor.accept();
+            std::array<char, 1'024> request{};
+            socket.read_some(boost::asio::buffer(request));
+            std::string answer =
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            for (int n = 0; n < chunks; ++n)
+            {
+                answer += "400\r\n" + std::string(1'024, 'x') + "\r\n";
+            }
+            answer += "0\r\nOne: 1\r\n\r\n";
+            boost::system::error_code failed;
+            boost::asio::write(socket, boost::asio::buffer(answer), failed);
+        });
+    const http_outcome outcome = at.call("x", 10s, false);
+    sender.join();
+    REQUIRE(outcome.answered());
+    CHECK(outcome.response.body().size() == chunks * 1'024);
+}
