--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -357,10 +357,18 @@
             return;
         }
         call_state->parser.emplace();
-        call_state->parser->eager(false); // The header ends a read of its own.
+        call_state->parser->eager(true);
         call_state->parser->body_limit(settings_.body_limit);
         call_state->parser->header_limit(header_limit_bytes);
         call_state->conn->stream.restart(header_limit_bytes);
+        call_state->conn->stream.on_bytes = [state = call_state.get()]
+        {
+            if (state->parser->is_header_done())
+            {
+                state->conn->stream.set_limit(
+                    std::numeric_limits<std::uint64_t>::max());
+            }
+        };
         read_response(call_state, received);
     };
     http::async_write(call_state->conn->socket, message, written);
@@ -380,9 +388,6 @@
                 done(failed);
                 return;
             }
-            call_state->parser->eager(true);
-            call_state->conn->stream.set_limit(
-                std::numeric_limits<std::uint64_t>::max());
             // A read fills the free part of the buffer. In pieces of its first
             // size a large body would take thousands of turns of the loop.
             const auto left = call_state->parser->content_length_remaining();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -86,11 +86,12 @@
     void read()
     {
         parser_.emplace();
-        // A read of a chunked body ends after each chunk only without this.
-        parser_->eager(false);
+        parser_->eager(true);
         parser_->header_limit(owner_->settings_.header_limit);
         parser_->body_limit(owner_->settings_.body_limit);
-        stream_.restart(owner_->settings_.header_limit);
+        // A read may bring more than the header.
+        stream_.restart(
+            owner_->settings_.header_limit + owner_->settings_.unparsed_limit);
         fields_bytes_ = 0;
         if (buffer_.size() == 0 && buffer_.capacity() > idle_buffer_bytes)
         {
@@ -161,6 +162,16 @@
         hold(bytes);
     }
 
+    /// Changes the limit of the message once its header is known.
+    void note_header()
+    {
+        if (fields_bytes_ == 0 && parser_->is_header_done())
+        {
+            stream_.set_limit(owner_->settings_.message_limit);
+            fields_bytes_ = cost_of(parser_->get());
+        }
+    }
+
     /// Called when bytes arrive, also within a header, of which the parser
     /// tells only at its end.
     void on_bytes()
@@ -173,6 +184,7 @@
         {
             enter(phase::reading);
         }
+        note_header();
         note_activity();
         static_cast<void>(owner_->fit_memory());
     }
@@ -236,12 +248,7 @@
             on_request();
             return;
         }
-        if (fields_bytes_ == 0)
-        {
-            stream_.set_limit(owner_->settings_.message_limit);
-            fields_bytes_ = cost_of(parser_->get());
-            parser_->eager(!parser_->chunked());
-        }
+        note_header();
         grow_buffer();
         note_activity();
         read_some();
