--- a/review/standin-3/executor.cpp
+++ b/review/standin-3/executor.cpp
@@ -14,10 +14,11 @@
     std::uint64_t run = 0;
     std::int64_t ends_at = 0;  ///< On the executor's clock; zero: lasts.
     std::int64_t stops_at = 0; ///< Zero unless it was told to stop.
+    bool fails = false;        ///< Ends as `failed`.
 };
 
 /// One executor. Its tasks do nothing: `taskSpec` is the work in milliseconds,
-/// or `lasts`.
+/// or `lasts`, or `fails after ` and milliseconds.
 class executor
 {
 public:
@@ -87,11 +88,12 @@
         for (auto at = runs_.begin(); at != runs_.end();)
         {
             const auto& [task, each] = *at;
-            const char* how =
-                lease_ <= now                                ? "lapsed"
-                : each.stops_at != 0 && each.stops_at <= now ? "stopped"
-                : each.ends_at != 0 && each.ends_at <= now   ? "done"
-                                                             : nullptr;
+            const char* how = lease_ <= now ? "lapsed"
+                              : each.stops_at != 0 && each.stops_at <= now
+                                  ? "stopped"
+                              : each.ends_at != 0 && each.ends_at <= now
+                                  ? (each.fails ? "failed" : "done")
+                                  : nullptr;
             if (how == nullptr)
             {
                 ++at;
@@ -156,8 +158,13 @@
         }
         extend_lease(body);
         const std::string spec = body.at("taskSpec");
-        const std::int64_t work = spec == "lasts" ? 0 : std::stol(spec);
-        runs_[task] = {run, work == 0 ? 0 : clock() + work, 0};
+        const std::string failing = "fails after ";
+        const bool fails = spec.rfind(failing, 0) == 0;
+        const std::int64_t work = spec == "lasts" ? 0
+                                  : fails
+                                      ? std::stol(spec.substr(failing.size()))
+                                      : std::stol(spec);
+        runs_[task] = {run, work == 0 ? 0 : clock() + work, 0, fails};
         note(id_, {{"start", task}, {"run", run}, {"fence", fence_}});
         return reply(200, about());
     }
