--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,54 +1,70 @@
 #!/usr/bin/env bash
-# A lasting job on a rack whose executors crash again and again.
+# A start order gets no answer and is carried out 4 s later, by an executor that
+# has crashed and started again meanwhile.
 set -u
 case_folder=$(cd "$(dirname "$0")" && pwd)
 . "$case_folder/../standin-3/fleet.sh"
 
+late_ms=4000
+late_orders=2 # The order and its repetition.
+[ "$trouble" = 0 ] && late_orders=0
+
 start_store
 put_config 7 "[$(route r-batch /batch/ 3)]"
-for n in $(seq 1 16); do
-    # Eight racks of two. Those of the first rack are of kind b.
-    rack=r1-$(((n + 1) / 2))
-    kind=a; [ "$rack" = r1-1 ] && kind=b
-    start_executor "e$n" "$kind" "$rack"
-done
+# The first executor keeps its id over its crash. The daemons reach it through a
+# proxy that delays orders.
+port; proxy=$taken
+port; backend=$taken
+"$standin" proxy "$proxy" "$backend" "$late_ms" "$late_orders" \
+    >>"$work/proxy.log" 2>&1 &
+started+=($!)
+start_first() { # FIRST_BEAT_MS
+    "$standin" executor i-7e000001 "$backend" "$store" svc1 zone-a a r1-1 \
+        16000 65536 6000 "$proxy" "$1" >>"$work/executor-first.log" 2>&1 &
+    first=$!; started+=("$first")
+    say "executor i-7e000001 starts"
+}
+start_first 0
 start_edge edge-1
 start_edge edge-2
 await_daemons
 sleep 2
 
-job=/batch/5c0e7a21d94b36f8
-lasting='{"taskSpec":"lasts","steps":[{"count":1,"cpu":500,"memMb":256,'
-lasting+='"longRunning":true,"requires":"b"}]}'
-ask edge-1 POST "$job" "$lasting"
+ask edge-1 POST /batch/5c0e7a21d94b36f8 \
+    '{"taskSpec":"12000","steps":[{"count":1,"cpu":500,"memMb":256,"estRuntimeMs":12000}]}'
 [ "$status" = 200 ] || cannot "the job was not accepted"
-sleep 4
+start_executor e2 a r1-2
+sleep 3
+if [ "$trouble" != 0 ]; then
+    say "executor i-7e000001 is killed"
+    kill -KILL "$first"
+    wait "$first" 2>/dev/null
+    sleep 0.5
+    # It writes to the store each 1.5 s; its first entry comes 1 s after it is up.
+    start_first 1000
+else
+    sleep 0.5
+fi
+sleep 16
+ask edge-2 GET /batch/5c0e7a21d94b36f8
 
-# One rack of eight, 2 of 16 executors, is down for 2 s each time.
-for crash in 1 2 3 4 5 6; do
-    if [ "$trouble" != 0 ]; then
-        kill_executor e1
-        kill_executor e2
-        sleep 2
-        start_executor e1
-        start_executor e2
-    else
-        sleep 2
-    fi
-    sleep 8
-    ask edge-2 GET "$job"
-    case $answer in
-    *failed* | *canceled*)
-        echo "broken: a lasting job is shown as $answer after crash $crash"
-        say "broken: LOST after crash $crash"
-        exit 1
+# Two runs of the task at once: a start while another run has not ended.
+open=0
+while read -r at who event; do
+    case $event in
+    *'"start":"5c0e7a21d94b36f8.0.0.0"'*)
+        open=$((open + 1))
+        if [ "$open" -gt 1 ]; then
+            say "broken: TWICE, $who starts it at $at beside another run"
+            echo "broken: two runs of one task at once"
+            exit 1
+        fi
         ;;
+    *'"end":"5c0e7a21d94b36f8.0.0.0"'*) open=$((open - 1)) ;;
     esac
-done
-sleep 9
-ask edge-1 GET "$job"
+done < <(cat "$work"/executor-*.log | sort -s -n -k1,1)
 case $answer in
-*running*) ;;
+*completed*) ;;
 *) echo "broken: the job is shown as $answer"; exit 1 ;;
 esac
 echo "held"
--- a/review/standin-3/common.hpp
+++ b/review/standin-3/common.hpp
@@ -129,6 +129,10 @@
                     }
                     const request asked = parser.release();
                     response answered = answer(asked);
+                    if (answered.result_int() == 0)
+                    {
+                        return; // No answer: the connection is closed.
+                    }
                     answered.version(11);
                     answered.keep_alive(asked.keep_alive());
                     answered.prepare_payload();
@@ -216,6 +220,7 @@
 int run_executor(const std::vector<std::string>& arguments);
 int run_client(const std::vector<std::string>& arguments);
 int run_burst(const std::vector<std::string>& arguments);
+int run_proxy(const std::vector<std::string>& arguments);
 int run_put(const std::vector<std::string>& arguments);
 
 } // namespace standin
--- a/review/standin-3/executor.cpp
+++ b/review/standin-3/executor.cpp
@@ -3,12 +3,17 @@
 #include <atomic>
 #include <condition_variable>
 
+#include <csignal>
+#include <cstdlib>
+
 namespace standin
 {
 
 namespace
 {
 
+std::atomic<bool> drains{false}; ///< SIGTERM has come.
+
 struct task_run
 {
     std::uint64_t run = 0;
@@ -232,11 +237,18 @@
 } // namespace
 
 // ID PORT STORE_PORT SERVICE ZONE KIND RACK CPU MEMORY LONGEST_LEASE_MS
+// [REGISTERED_PORT [FIRST_BEAT_MS]]: the port in the registry, if it is not its
+// own, and the time from the start to the first entry there.
 int run_executor(const std::vector<std::string>& arguments)
 {
     const std::string& id = arguments.at(0);
     const auto port = static_cast<std::uint16_t>(std::stoul(arguments.at(1)));
     const auto store = static_cast<std::uint16_t>(std::stoul(arguments.at(2)));
+    const std::string registered =
+        arguments.size() > 10 ? arguments.at(10) : arguments.at(1);
+    const milliseconds first_beat(
+        arguments.size() > 11 ? std::stol(arguments.at(11)) : 0);
+    std::signal(SIGTERM, [](int) { drains = true; });
     executor self(id, milliseconds(std::stol(arguments.at(9))));
     note(id, {{"born", self.born()}, {"rack", arguments.at(6)}});
     std::thread(
@@ -253,15 +265,16 @@
         [&]
         {
             constexpr milliseconds heartbeat{1'500};
+            std::this_thread::sleep_for(first_beat);
             for (std::uint64_t sequence = 1;; ++sequence)
             {
                 const json entry{
                     {"service", arguments.at(3)},
-                    {"address", "127.0.0.1:" + arguments.at(1)},
+                    {"address", "127.0.0.1:" + registered},
                     {"zone", arguments.at(4)},
                     {"version", "v1"},
                     {"slots", 8},
-                    {"state", "ready"},
+                    {"state", drains ? "draining" : "ready"},
                     {"coldLeftMs", 0},
                     {"capacity",
                      {{"cpu", std::stol(arguments.at(7))},
@@ -271,13 +284,31 @@
                     {"clockMs", self.clock()},
                     {"born", self.born()},
                     {"seqNo", sequence}};
+                const bool told = drains;
                 call(
                     store,
                     http::verb::post,
                     "/-/log-append?topic=keyed.servers&part=0",
                     keyed_record(id, entry.dump()),
                     heartbeat);
-                std::this_thread::sleep_for(heartbeat);
+                if (told)
+                {
+                    // Serves on for a while, then leaves.
+                    std::this_thread::sleep_for(milliseconds(2'500));
+                    call(
+                        store,
+                        http::verb::post,
+                        "/-/log-append?topic=keyed.servers&part=0",
+                        keyed_record(id, std::string()),
+                        heartbeat);
+                    note(id, {{"left", true}});
+                    std::_Exit(0);
+                }
+                const auto next = steady::now() + heartbeat;
+                while (steady::now() < next && !drains)
+                {
+                    std::this_thread::sleep_for(milliseconds(20));
+                }
             }
         })
         .detach();
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -1,20 +1,35 @@
 #include "common.hpp"
 
+#include <random>
+
 namespace
 {
 
-/// Prints as many ports as asked for that nothing listens on.
+/// Prints as many ports as asked for that nothing listens on. They lie below
+/// those that the system gives to outgoing connections.
 int print_ports(std::size_t count)
 {
     using boost::asio::ip::tcp;
+    constexpr int lowest = 10'000;
+    constexpr int highest = 32'000;
+    std::random_device device;
+    std::uniform_int_distribution<int> draw(lowest, highest);
     boost::asio::io_context context;
     std::vector<tcp::acceptor> held;
-    for (std::size_t n = 0; n < count; ++n)
+    while (held.size() < count)
     {
-        held.emplace_back(
-            context,
-            tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-        std::cout << held.back().local_endpoint().port() << '\n';
+        const tcp::endpoint drawn(
+            boost::asio::ip::make_address("127.0.0.1"),
+            static_cast<std::uint16_t>(draw(device)));
+        tcp::acceptor acceptor(context);
+        boost::system::error_code failed;
+        acceptor.open(drawn.protocol(), failed);
+        acceptor.bind(drawn, failed);
+        if (!failed)
+        {
+            std::cout << drawn.port() << '\n';
+            held.push_back(std::move(acceptor));
+        }
     }
     return 0;
 }
@@ -47,10 +62,14 @@
     {
         return standin::run_burst(rest);
     }
+    if (what == "proxy")
+    {
+        return standin::run_proxy(rest);
+    }
     if (what == "put")
     {
         return standin::run_put(rest);
     }
-    std::cerr << "standin-3 ports|store|executor|client|burst|put ...\n";
+    std::cerr << "standin-3 ports|store|executor|client|burst|proxy|put ...\n";
     return 2;
 }
