--- a/review/standin-3/fleet.sh
+++ b/review/standin-3/fleet.sh
@@ -9,13 +9,21 @@
 key=key-of-tenant-1
 [ -x "$program" ] && [ -x "$standin" ] || { echo "not built"; exit 2; }
 work=$(mktemp -d)
-started=()   # Process ids of all processes.
 declare -A executor_pid executor_port executor_kind executor_rack
 declare -A edge_pid edge_front
 store_pid=
 
+# True for a process of this script that has not ended. The id of one that has
+# may belong to another process.
+is_running() {
+    local running
+    running=$(jobs -pr)
+    [[ $'\n'$running$'\n' == *$'\n'$1$'\n'* ]]
+}
+
 end_all() {
-    for pid in "${started[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+    local pid
+    for pid in $(jobs -pr); do kill -KILL "$pid" 2>/dev/null; done
     wait 2>/dev/null
 }
 
@@ -42,7 +50,7 @@
 start_store() {
     port; store=$taken
     "$standin" store "$store" >>"$work/store.log" 2>&1 &
-    store_pid=$!; started+=("$store_pid")
+    store_pid=$!
     sleep 0.3
 }
 
@@ -83,12 +91,13 @@
     "$standin" executor "$id" "${executor_port[$name]}" "$store" svc1 zone-a \
         "${executor_kind[$name]}" "${executor_rack[$name]}" 16000 65536 6000 \
         >>"$work/executor-$name.log" 2>&1 &
-    executor_pid[$name]=$!; started+=($!)
+    executor_pid[$name]=$!
     say "executor $name starts as $id"
 }
 
 kill_executor() {
     say "executor $1 is killed"
+    is_running "${executor_pid[$1]}" || return
     kill -KILL "${executor_pid[$1]}"
     wait "${executor_pid[$1]}" 2>/dev/null
 }
@@ -150,7 +159,7 @@
 SETTINGS
     ACACIASTILE_SETTINGS=$work/$name.conf "$program" edge \
         >"$work/$name.out" 2>&1 &
-    edge_pid[$name]=$!; started+=($!)
+    edge_pid[$name]=$!
     say "daemon $name starts"
 }
 
