--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -17,11 +17,10 @@
 port; backend=$taken
 "$standin" proxy "$proxy" "$backend" "$late_ms" "$late_orders" \
     >>"$work/proxy.log" 2>&1 &
-started+=($!)
 start_first() { # FIRST_BEAT_MS
     "$standin" executor i-7e000001 "$backend" "$store" svc1 zone-a a r1-1 \
         16000 65536 6000 "$proxy" "$1" >>"$work/executor-first.log" 2>&1 &
-    first=$!; started+=("$first")
+    first=$!
     say "executor i-7e000001 starts"
 }
 start_first 0
