--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -64,7 +64,7 @@
 done < <(cat "$work"/executor-*.log | sort -s -n -k1,1)
 case $answer in
 *completed*) ;;
-*) echo "broken: the job is shown as $answer"; exit 1 ;;
+*) cannot "the job is shown as $answer" ;;
 esac
 echo "held"
 exit 0
