--- a/src/domain/event_number.hpp
+++ b/src/domain/event_number.hpp
@@ -103,6 +103,8 @@
     count_given = 6051,
     count_refused = 6052,
     jobs_unread = 6053,
+    start_held = 6054,
+    late_start_taken = 6055,
     // HTTP entry.
     listening = 4000,
     certificates_reloaded = 4001,
@@ -225,6 +227,8 @@
     {event_number::count_given, event_level::info, "count_given"},
     {event_number::count_refused, event_level::info, "count_refused"},
     {event_number::jobs_unread, event_level::warn, "jobs_unread"},
+    {event_number::start_held, event_level::warn, "start_held"},
+    {event_number::late_start_taken, event_level::warn, "late_start_taken"},
     {event_number::listening, event_level::info, "listening"},
     {event_number::certificates_reloaded,
      event_level::info,
--- a/src/fleet/job_tracker.hpp
+++ b/src/fleet/job_tracker.hpp
@@ -47,6 +47,9 @@
     bool failed_last = false; ///< The run that ended last has failed.
     std::string checkpoint;   ///< Empty: starts from the beginning.
     crash_record crashes;     ///< Of the workers of its runs.
+    /// Since when its next run waits for an order that may still be carried
+    /// out; empty if it does not.
+    std::optional<instant> held_since;
 };
 
 /// Until when a job is expected to be useful if its remaining work starts now.
--- a/src/fleet/owner.cpp
+++ b/src/fleet/owner.cpp
@@ -102,6 +102,7 @@
     const instant now = ports_.clock.now();
     last_round_ = now;
     jobs_.open_due_occurrences(ports_.clock.wall(), now);
+    unsettled_orders_.drop_expired(now);
     expire_leases();
     check_isolation();
     update_absence_records();
@@ -115,7 +116,8 @@
             now,
             inherited_may_start(),
             dispatcher_.budget(now),
-            unheard_capacity());
+            unheard_capacity(),
+            &unsettled_orders_);
     }
     planning_cost_ = ports_.clock.now() - now;
     for (const permit_request& question : decided.permit_requests)
@@ -183,6 +185,20 @@
             {event_number::step_impossible,
              {{"job", each.job.str()}, {"step", std::to_string(each.step)}}});
     }
+    ports_.metrics.gauge(
+        "fleet_starts_open",
+        "",
+        static_cast<double>(unsettled_orders_.unanswered()));
+    ports_.metrics.gauge(
+        "fleet_tasks_held", "", static_cast<double>(decided.held_tasks));
+    for (const held_start& each : decided.first_held)
+    {
+        ports_.events.emit(
+            {event_number::start_held,
+             {{"task", text_of(each.task)},
+              {"worker", each.worker.str()},
+              {"reason", std::string(name_of(each.reason))}}});
+    }
     for (const first_permit_wait& each : decided.first_permit_waits)
     {
         ports_.events.emit(
--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -544,6 +544,9 @@
         const worker_entry& worker,
         std::string_view from,
         const run_list_text& runs);
+    /// Logs that a worker has started a run by an order that was sent to an
+    /// earlier incarnation of it.
+    void report_late_start(const worker_entry& worker, const run_ref& run);
     /// Logs that a worker lists a run that was recorded as over.
     void report_reappeared(const worker_entry& worker, const run_ref& run);
     void report_rejected_adoption(
@@ -551,6 +554,12 @@
         const task_ref& task,
         run_number run,
         adoption outcome);
+    /// True if the worker may still start the run by an order that any
+    /// incarnation of it may carry out. Such a run is not stopped: its task
+    /// could not start elsewhere before the order expires. A task that lasts
+    /// has to be at work and starts again on this incarnation instead.
+    [[nodiscard]] bool
+    awaits_start(const worker_entry& worker, const run_ref& run);
     /// Handles runs that are recorded for the worker but missing in its status.
     void reconcile_missing_runs(
         worker_entry& worker, instant sent_at, const worker_status& status);
--- a/src/fleet/owner_adoptions.cpp
+++ b/src/fleet/owner_adoptions.cpp
@@ -46,6 +46,7 @@
         run_entry& run = at->second;
         if (run.listed_in == 0)
         {
+            report_late_start(worker, {running.task, running.run});
             jobs_.confirm_start(running.task.step.job, start_evidence::status);
             note_run(worker, run);
         }
@@ -70,6 +71,7 @@
         }
         return false;
     }
+    report_late_start(worker, {running.task, running.run});
     report_reappeared(worker, {running.task, running.run});
     const job_entry* job = jobs_.find(running.task.step.job);
     run_entry run;
@@ -114,6 +116,26 @@
     return false;
 }
 
+void fleet_owner::report_late_start(
+    const worker_entry& worker, const run_ref& run)
+{
+    const auto order = unsettled_orders_.late_for(
+        worker.registration.id, run, worker.registration.incarnation);
+    if (!order)
+    {
+        return;
+    }
+    ports_.metrics.count("fleet_late_starts", "", 1);
+    ports_.events.emit(
+        {event_number::late_start_taken,
+         {{"task", text_of(run.task)},
+          {"run", std::to_string(run.run)},
+          {"worker", worker.registration.id.str()},
+          {"order_age_ms", text_of(ports_.clock.now() - order->sent_at)},
+          {"sent_to", std::to_string(order->incarnation)},
+          {"incarnation", std::to_string(worker.registration.incarnation)}}});
+}
+
 void fleet_owner::report_reappeared(
     const worker_entry& worker, const run_ref& run)
 {
--- a/src/fleet/owner_ends.cpp
+++ b/src/fleet/owner_ends.cpp
@@ -11,6 +11,10 @@
 void fleet_owner::apply_end(worker_entry& worker, const ended_run& ended)
 {
     jobs_.confirm_start(ended.task.step.job, start_evidence::end);
+    unsettled_orders_.note_barred(
+        worker.registration.id,
+        {ended.task, ended.run},
+        worker.registration.incarnation);
     end_run(worker, ended.task, ended.run, ended.how, ended.checkpoint);
     if (ended.how == run_end::done)
     {
@@ -119,6 +123,13 @@
               {"run", std::to_string(run)},
               {"worker", worker.registration.id.str()},
               {"reason", std::string(text)}}});
+        if (reason == presumed_end::lease_expired)
+        {
+            unsettled_orders_.note_lease_expired(
+                worker.registration.id,
+                {task, run},
+                worker.registration.incarnation);
+        }
         end_run(worker, task, run, run_end::lapsed, {});
     }
 }
--- a/src/fleet/owner_polls.cpp
+++ b/src/fleet/owner_polls.cpp
@@ -22,13 +22,14 @@
 {
     // Without a renewal, and if nothing runs, idle workers have to confirm the
     // ownership.
+    const bool binds = unsettled_orders_.binds_to(worker.registration.id);
     const bool needed = !worker.sealed || !worker.reachable ||
-                        !worker.runs.empty() ||
+                        !worker.runs.empty() || binds ||
                         worker.processed > worker.acknowledgement_sent ||
                         (workers_.busy() == 0 && is_renewal_overdue());
     // The end of the call in flight schedules the next poll.
     if (!needed || worker.hold_in_flight ||
-        (!worker.listed && worker.runs.empty()))
+        (!worker.listed && worker.runs.empty() && !binds))
     {
         return;
     }
@@ -63,6 +64,9 @@
     const bool unsettled =
         !confirmed || !worker.reachable || !worker.sealed ||
         worker.processed > worker.acknowledged ||
+        // The sooner a later incarnation is polled, the fewer orders of earlier
+        // ones it carries out.
+        unsettled_orders_.binds_to(worker.registration.id) ||
         std::any_of(
             worker.runs.begin(),
             worker.runs.end(),
--- a/src/fleet/owner_starts.cpp
+++ b/src/fleet/owner_starts.cpp
@@ -33,6 +33,14 @@
             "limit", std::to_string(decision.worker_limit));
         started.fields.emplace_back("beside", std::to_string(decision.beside));
     }
+    if (decision.held)
+    {
+        started.fields.emplace_back("held_ms", text_of(*decision.held));
+        ports_.metrics.sample(
+            "fleet_start_held_ms",
+            "",
+            static_cast<double>(decision.held->count()));
+    }
     ports_.events.emit(started);
     send_start(decision, false);
 }
@@ -68,7 +76,16 @@
         on_start_not_sent(decision, is_retry, "the worker may have restarted");
         return;
     }
-    unsettled_orders_.add(decision.worker, {decision.task, decision.run}, now);
+    // A later incarnation rejects a permit of an earlier one. Copies of a
+    // speculative task may run at the same time.
+    const bool binds =
+        order.permit.empty() && !job->spec(decision.task.step).speculative;
+    unsettled_orders_.add(
+        decision.worker,
+        {decision.task, decision.run},
+        now,
+        worker->registration.incarnation,
+        binds ? order_reach::any_incarnation : order_reach::one_incarnation);
     const worker_instant lease = grant_lease(*worker, now);
     const std::uint64_t token = token_of(*worker);
     ports_.orders.start(
@@ -130,6 +147,11 @@
         unsettled_orders_.settle(
             decision.worker, {decision.task, decision.run}, sent_at);
     }
+    else
+    {
+        unsettled_orders_.note_unanswered(
+            decision.worker, {decision.task, decision.run}, sent_at);
+    }
     worker_entry* worker = workers_.find(decision.worker);
     if (worker == nullptr)
     {
--- a/src/fleet/owner_status.cpp
+++ b/src/fleet/owner_status.cpp
@@ -120,7 +120,7 @@
         case run_entry::phase::starting:
             break;
         case run_entry::phase::uncertain:
-            if (sent_at >= run.confirmed)
+            if (sent_at >= run.confirmed && !awaits_start(worker, id))
             {
                 to_stop.push_back(id);
             }
@@ -147,8 +147,23 @@
     for (const run_ref& id : missing)
     {
         presumed_ends_.add(id, presumed_end::not_listed, ports_.clock.now());
+        // It was stopped there or has ended there.
+        unsettled_orders_.note_barred(
+            worker.registration.id, id, worker.registration.incarnation);
         end_run(worker, id.task, id.run, run_end::stopped, {});
     }
 }
 
+bool fleet_owner::awaits_start(const worker_entry& worker, const run_ref& run)
+{
+    const job_entry* job = jobs_.find(run.task.step.job);
+    return job != nullptr && !job->is_final() &&
+           !job->spec(run.task.step).long_running &&
+           unsettled_orders_.may_start_on(
+               worker.registration.id,
+               run,
+               worker.registration.incarnation,
+               ports_.clock.now());
+}
+
 } // namespace acaciastile::fleet
--- a/src/fleet/owner_stops.cpp
+++ b/src/fleet/owner_stops.cpp
@@ -82,13 +82,14 @@
     const auto at = worker->runs.find(run);
     if (answer)
     {
+        unsettled_orders_.note_barred(id, run, incarnation);
         if (at != worker->runs.end())
         {
             at->second.stop_answered = now;
             worker->next_hold = {};
             schedule_poll(*worker);
-            schedule_round();
         }
+        schedule_round();
         return;
     }
     if (at == worker->runs.end() && !unsettled_orders_.contains(id, run, now))
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -78,6 +78,7 @@
     room_claims claims{}; ///< Of requests without an answer.
     /// Places of gangs on workers with permits, some of which have expired.
     std::map<const step_entry*, permit_requests::named_workers> gang_places{};
+    const unsettled_order_table* orders = nullptr; ///< Null: binds no task.
 
     /// True if the account stays within its cap with `added`, whatever is
     /// running unknown to this owner.
@@ -102,7 +103,8 @@
     instant now,
     bool inherited_may_start,
     permit_request_budget budget,
-    const std::optional<resources>& unheard_capacity)
+    const std::optional<resources>& unheard_capacity,
+    const unsettled_order_table* orders)
 {
     planning_pass pass{
         jobs,
@@ -116,6 +118,8 @@
         {},
         unheard_capacity,
         permit_demand(jobs.account_names().size())};
+    pass.orders =
+        orders != nullptr && orders->bound_tasks() > 0 ? orders : nullptr;
     reservations_.resize(workers.handle_count());
     const std::pair abilities(workers.abilities_version(), config.version());
     if (abilities != abilities_seen_)
@@ -794,6 +798,11 @@
             step.note_wait(permit_wait::at_cap);
             return;
         }
+        if (const auto bound = bound_worker(pass, step, index))
+        {
+            place_bound_task(pass, step, index, *bound, permitted);
+            continue; // Others need another worker.
+        }
         worker_entry* best = best_worker(pass, step, index, permitted);
         if (best == nullptr && step.step->tasks[index].crashes.is_suspect())
         {
@@ -813,6 +822,87 @@
     }
 }
 
+std::optional<worker_id> planner::bound_worker(
+    const planning_pass& pass, const waiting_step& step, std::uint32_t index)
+{
+    return pass.orders == nullptr
+               ? std::nullopt
+               : pass.orders->bound_worker({step.step->id, index}, pass.now);
+}
+
+void planner::place_bound_task(
+    planning_pass& pass,
+    waiting_step& step,
+    std::uint32_t index,
+    const worker_id& bound,
+    const std::vector<worker_entry*>& permitted)
+{
+    ++pass.examined;
+    worker_entry* worker = pass.workers.find(bound);
+    if (const auto reason = hold_at(pass, step, index, worker, permitted))
+    {
+        note_held(pass, step, index, bound, *reason);
+        return;
+    }
+    start(pass, step, index, pass.jobs.next_run(*step.job), *worker);
+    if (step.spec->max_per_worker > 0)
+    {
+        ++step.on_worker[worker->handle];
+    }
+}
+
+std::optional<hold_reason> planner::hold_at(
+    const planning_pass& pass,
+    const waiting_step& step,
+    std::uint32_t index,
+    const worker_entry* worker,
+    const std::vector<worker_entry*>& permitted) const
+{
+    const bool is_permitted =
+        !step.requires_permits() ||
+        std::find(permitted.begin(), permitted.end(), worker) !=
+            permitted.end();
+    if (worker == nullptr || !may_run(pass, step, *worker) || !is_permitted)
+    {
+        return hold_reason::unusable;
+    }
+    if (!pass.orders->is_barred(
+            {step.step->id, index},
+            worker->registration.id,
+            worker->registration.incarnation,
+            pass.now))
+    {
+        return hold_reason::not_barred;
+    }
+    if (!step.needs.fits_in(worker->free_resources()) ||
+        !may_try(pass, trial_of(step, index), *worker))
+    {
+        return hold_reason::no_room;
+    }
+    return std::nullopt;
+}
+
+void planner::note_held(
+    planning_pass& pass,
+    const waiting_step& step,
+    std::uint32_t index,
+    const worker_id& worker,
+    hold_reason reason)
+{
+    ++pass.decided.held_tasks;
+    task_entry& task = step.step->tasks[index];
+    if (task.held_since)
+    {
+        return;
+    }
+    task.held_since = pass.now;
+    if (pass.decided.first_held.size() < max_holds_logged)
+    {
+        pass.decided.first_held.push_back(
+            {{step.step->id, index}, worker, reason});
+    }
+}
+
 run_entry::trial_length
 planner::trial_of(const waiting_step& step, std::uint32_t index)
 {
@@ -852,7 +942,7 @@
     run_number run,
     worker_entry& worker)
 {
-    const task_entry& task = step.step->tasks[index];
+    task_entry& task = step.step->tasks[index];
     start_decision decision;
     decision.task = {step.step->id, index};
     decision.run = run;
@@ -867,6 +957,11 @@
     decision.speed = expected_speed(pass, worker);
     decision.time_left = time_left(pass, step);
     decision.chance_late = chance_late(pass, step, decision.speed);
+    if (task.held_since)
+    {
+        decision.held = pass.now - *task.held_since;
+        task.held_since.reset();
+    }
     if (step.requires_permits())
     {
         const step_permits::grant* grant =
@@ -1005,6 +1100,14 @@
 
 bool planner::place_gang(planning_pass& pass, waiting_step& step)
 {
+    for (std::uint32_t index = 0; index < step.step->tasks.size(); ++index)
+    {
+        if (const auto bound = bound_worker(pass, step, index))
+        {
+            note_held(pass, step, index, *bound, hold_reason::gang);
+            return false;
+        }
+    }
     const auto count = static_cast<std::int64_t>(step.step->tasks.size());
     if (!pass.within_cap(step, step.needs * count))
     {
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet/job_tracker.hpp"
 #include "fleet/permit_requests.hpp"
+#include "fleet/unsettled_orders.hpp"
 #include "fleet/urgency.hpp"
 #include "fleet/worker_speeds.hpp"
 #include "fleet/worker_table.hpp"
@@ -31,8 +32,39 @@
     milliseconds time_left{0};
     /// Probability that it takes longer.
     double chance_late = 0;
+    /// How long it has waited for orders of earlier runs (`held_start`).
+    std::optional<milliseconds> held;
 };
 
+/// Why a task that is bound to a worker (`unsettled_order_table`) does not
+/// start there.
+enum class hold_reason : std::uint8_t
+{
+    unusable,   ///< The worker is out of sight or takes no runs now.
+    not_barred, ///< Its present incarnation may still carry the order out.
+    no_room,
+    gang ///< A gang waits until no order of its members can be carried out.
+};
+
+/// Name of a reason, for logs.
+[[nodiscard]] constexpr std::string_view name_of(hold_reason reason) noexcept
+{
+    constexpr std::array<std::string_view, 4> names{
+        "unusable", "not_barred", "no_room", "gang"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
+/// A task whose next run waits for an order that may still be carried out.
+struct held_start
+{
+    task_ref task;
+    worker_id worker;
+    hold_reason reason = hold_reason::unusable;
+};
+
+/// Most tasks whose hold has begun which one pass reports for the log.
+inline constexpr std::size_t max_holds_logged = 8;
+
 /// Most permits without a start that one pass reports for the log.
 inline constexpr std::size_t max_permit_waits_logged = 8;
 /// Most steps that no worker can run which one pass reports for the log.
@@ -60,6 +92,9 @@
     std::size_t impossible_steps = 0;
     /// The first such step of each job, once.
     std::vector<step_id> first_impossible;
+    /// Tasks that are held, as far as the pass has examined them.
+    std::size_t held_tasks = 0;
+    std::vector<held_start> first_held; ///< Those whose hold has begun.
     /// False if the pass stopped at its limit of work. The next one looks at
     /// the steps that are left.
     bool complete = true;
@@ -125,7 +160,8 @@
     /// has expired; until then, jobs accepted under a previous owner wait, and
     /// what they may be using counts against the caps of their accounts.
     /// `unheard_capacity` is the capacity of those workers together, if it is
-    /// known: no more than that can be in use unknown to this owner.
+    /// known: no more than that can be in use unknown to this owner. `orders`
+    /// tells which tasks are bound to workers; null if none is.
     [[nodiscard]] plan decide(
         job_tracker& jobs,
         worker_table& workers,
@@ -133,7 +169,8 @@
         instant now,
         bool inherited_may_start,
         permit_request_budget budget,
-        const std::optional<resources>& unheard_capacity = {});
+        const std::optional<resources>& unheard_capacity = {},
+        const unsettled_order_table* orders = nullptr);
 
     /// True if workers are reserved for this gang.
     [[nodiscard]] bool has_reservation(const step_id& gang) const
@@ -198,6 +235,32 @@
     collect_candidates(planning_pass& pass, bool inherited_may_start);
     void place_step(planning_pass& pass, waiting_step& step);
     void place_tasks(planning_pass& pass, waiting_step& step);
+    /// The worker that a waiting task is bound to, if it is.
+    [[nodiscard]] static std::optional<worker_id> bound_worker(
+        const planning_pass& pass,
+        const waiting_step& step,
+        std::uint32_t index);
+    /// Starts a task on the worker that it is bound to, or records that it is
+    /// held. `permitted`: as for `best_worker`.
+    void place_bound_task(
+        planning_pass& pass,
+        waiting_step& step,
+        std::uint32_t index,
+        const worker_id& bound,
+        const std::vector<worker_entry*>& permitted);
+    /// Why the task cannot start on that worker now; nothing if it can.
+    [[nodiscard]] std::optional<hold_reason> hold_at(
+        const planning_pass& pass,
+        const waiting_step& step,
+        std::uint32_t index,
+        const worker_entry* worker,
+        const std::vector<worker_entry*>& permitted) const;
+    static void note_held(
+        planning_pass& pass,
+        const waiting_step& step,
+        std::uint32_t index,
+        const worker_id& worker,
+        hold_reason reason);
     /// Workers with a usable permit for the step and enough free resources.
     /// Notes why the others do not count.
     [[nodiscard]] std::vector<worker_entry*>
--- a/src/standin/worker_pool.hpp
+++ b/src/standin/worker_pool.hpp
@@ -100,6 +100,8 @@
     /// present one, also when they arrive late. Otherwise the present one
     /// refuses starts, and status polls with a lease or an acknowledged number.
     bool orders_outlive_restarts = false;
+    /// The same for calls that are carried out late, and for no others.
+    bool late_orders_outlive_restarts = false;
     /// Clients keep connections to workers. A call to a worker that has crashed
     /// goes out on one of them and gets no reply, so the client does not know
     /// whether it was carried out. Otherwise such a call is known not to have
@@ -173,10 +175,13 @@
         milliseconds faults::*transit = nullptr);
     /// True if the worker is another incarnation than the one that a call
     /// requires. Like the introduction of such a call it tells the token.
-    [[nodiscard]] bool is_other_incarnation(
+    [[nodiscard]] static bool is_other_incarnation(
         incarnation_state& worker,
         const fleet::worker_address& required,
-        std::uint64_t token) const;
+        std::uint64_t token);
+    /// True if a call that is sent now may be carried out by a later
+    /// incarnation of the worker.
+    [[nodiscard]] bool outlives_restart(const worker_id& id) const;
     [[nodiscard]] worker_instant
     clock_of(const incarnation_state& worker) const;
     void extend(incarnation_state& worker, worker_instant until);
