--- a/src/fleet/owner.hpp
+++ b/src/fleet/owner.hpp
@@ -15,6 +15,7 @@
 #include "fleet/unsettled_orders.hpp"
 #include "fleet/worker_table.hpp"
 
+#include <absl/container/flat_hash_set.h>
 #include <array>
 #include <deque>
 #include <functional>
@@ -775,7 +776,7 @@
     bool store_lost_ = false;
     instant last_store_answer_{}; ///< To a read of the registry.
     /// Ended jobs whose requests are still stored.
-    std::vector<job_id> ended_jobs_;
+    absl::flat_hash_set<job_id> ended_jobs_;
 };
 
 } // namespace acaciastile::fleet
--- a/src/fleet/owner_jobs.cpp
+++ b/src/fleet/owner_jobs.cpp
@@ -23,7 +23,7 @@
         {
             // Sent again after its end; the request must not outlive the
             // progress that says so.
-            ended_jobs_.push_back(known->job.id);
+            ended_jobs_.insert(known->job.id);
         }
         return;
     }
--- a/src/fleet/owner_load.cpp
+++ b/src/fleet/owner_load.cpp
@@ -427,7 +427,7 @@
     {
         if (job->is_final() && job->stored_in != 0)
         {
-            ended_jobs_.push_back(id);
+            ended_jobs_.insert(id);
         }
     }
     charge_inherited_rates();
--- a/src/fleet/owner_progress.cpp
+++ b/src/fleet/owner_progress.cpp
@@ -221,7 +221,7 @@
             if (is_final(state))
             {
                 jobs_.note_end_stored(*job, state, ports_.clock.now());
-                ended_jobs_.push_back(id);
+                ended_jobs_.insert(id);
             }
         }
     }
@@ -252,7 +252,7 @@
     // request.
     forget_old_jobs();
     std::array<std::vector<store_record>, topics::job_topics.size()> dropped;
-    std::vector<job_id> unread;
+    absl::flat_hash_set<job_id> unread;
     for (const job_id& id : ended_jobs_)
     {
         job_entry* job = jobs_.find(id);
@@ -262,7 +262,7 @@
         }
         if (job->stored_in == 0)
         {
-            unread.push_back(id); // Its request will be read soon.
+            unread.insert(id); // Its request will be read soon.
         }
         for (std::size_t topic = 0; topic < dropped.size(); ++topic)
         {
@@ -311,7 +311,7 @@
                     if (job_entry* job = self.jobs_.find(id))
                     {
                         job->stored_in |= bit;
-                        self.ended_jobs_.push_back(id);
+                        self.ended_jobs_.insert(id);
                     }
                 }
             }));
