--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -984,14 +984,57 @@
     pass.decided.starts.push_back(std::move(decision));
 }
 
+std::int64_t planner::bound_members::places_left(
+    const worker_entry& worker, const waiting_step& step) const
+{
+    const auto at = on_worker.find(worker.handle);
+    const std::int64_t here = at == on_worker.end() ? 0 : at->second;
+    const std::int64_t limit = step.spec->max_per_worker;
+    const std::int64_t fitting = members_that_fit(
+        worker.free_resources() - step.needs * here, *step.spec, step.needs);
+    return limit > 0 ? std::min(fitting, limit - here) : fitting;
+}
+
+bool planner::place_bound_members(
+    planning_pass& pass, const waiting_step& step, bound_members& bound)
+{
+    if (pass.orders == nullptr)
+    {
+        return true;
+    }
+    for (std::uint32_t index = 0; index < step.step->tasks.size(); ++index)
+    {
+        const auto id = bound_worker(pass, step, index);
+        if (!id)
+        {
+            continue;
+        }
+        worker_entry* worker = pass.workers.find(*id);
+        auto reason = hold_at(pass, step, index, worker, {});
+        if (!reason && bound.places_left(*worker, step) <= 0)
+        {
+            reason = hold_reason::no_room;
+        }
+        if (reason)
+        {
+            note_held(pass, step, index, *id, *reason);
+            return false;
+        }
+        bound.places.emplace(index, worker);
+        ++bound.on_worker[worker->handle];
+    }
+    return true;
+}
+
 std::vector<worker_entry*> planner::fit_gang(
     planning_pass& pass,
     waiting_step& step,
     bool need_permits,
-    const rack_name* rack)
+    const rack_name* rack,
+    const bound_members& bound)
 {
     std::vector<worker_entry*> fitting;
-    const std::size_t members = step.step->tasks.size();
+    const std::size_t members = step.step->tasks.size() - bound.places.size();
     const auto trial = trial_of(step, 0);
     std::size_t places_found = 0;
     const auto consider = [&](worker_entry* worker)
@@ -1003,8 +1046,8 @@
             may_run(pass, step, *worker) && may_try(pass, trial, *worker))
         {
             fitting.push_back(worker);
-            places_found += static_cast<std::size_t>(members_that_fit(
-                worker->free_resources(), *step.spec, step.needs));
+            places_found += static_cast<std::size_t>(
+                std::max<std::int64_t>(0, bound.places_left(*worker, step)));
         }
     };
     if (step.requires_permits())
@@ -1059,15 +1102,15 @@
     for (worker_entry* worker : fitting)
     {
         const auto here = static_cast<std::size_t>(
-            members_that_fit(worker->free_resources(), *step.spec, step.needs));
+            std::max<std::int64_t>(0, bound.places_left(*worker, step)));
         places.insert(
             places.end(), std::min(here, members - places.size()), worker);
     }
     return places;
 }
 
-std::vector<worker_entry*>
-planner::fit_gang_into_rack(planning_pass& pass, waiting_step& step)
+std::vector<worker_entry*> planner::fit_gang_into_rack(
+    planning_pass& pass, waiting_step& step, const bound_members& bound)
 {
     std::set<rack_name> racks;
     if (step.requires_permits())
@@ -1089,7 +1132,8 @@
     }
     for (const rack_name& rack : racks)
     {
-        std::vector<worker_entry*> places = fit_gang(pass, step, true, &rack);
+        std::vector<worker_entry*> places =
+            fit_gang(pass, step, true, &rack, bound);
         if (!places.empty())
         {
             return places;
@@ -1100,13 +1144,10 @@
 
 bool planner::place_gang(planning_pass& pass, waiting_step& step)
 {
-    for (std::uint32_t index = 0; index < step.step->tasks.size(); ++index)
+    bound_members bound;
+    if (!place_bound_members(pass, step, bound))
     {
-        if (const auto bound = bound_worker(pass, step, index))
-        {
-            note_held(pass, step, index, *bound, hold_reason::gang);
-            return false;
-        }
+        return false;
     }
     const auto count = static_cast<std::int64_t>(step.step->tasks.size());
     if (!pass.within_cap(step, step.needs * count))
@@ -1123,24 +1164,28 @@
     std::vector<worker_entry*> places;
     if (step.spec->one_rack)
     {
-        places = fit_gang_into_rack(pass, step);
+        places = fit_gang_into_rack(pass, step, bound);
     }
     if (places.empty())
     {
-        places = fit_gang(pass, step, true, nullptr);
+        places = fit_gang(pass, step, true, nullptr, bound);
     }
-    if (!places.empty())
+    if (places.size() + bound.places.size() == step.step->tasks.size())
     {
         const run_number run = pass.jobs.next_run(*step.job);
-        for (std::uint32_t index = 0; index < places.size(); ++index)
+        auto next = places.begin();
+        for (std::uint32_t index = 0; index < step.step->tasks.size(); ++index)
         {
-            start(pass, step, index, run, *places[index]);
+            const auto at = bound.places.find(index);
+            worker_entry* worker =
+                at == bound.places.end() ? *next++ : at->second;
+            start(pass, step, index, run, *worker);
         }
         reserved_workers_.erase(step.step->id);
         return true;
     }
     const std::vector<worker_entry*> fitting =
-        fit_gang(pass, step, false, nullptr);
+        fit_gang(pass, step, false, nullptr, bound);
     if (fitting.empty())
     {
         reserve_workers(pass, step);
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -42,15 +42,14 @@
 {
     unusable,   ///< The worker is out of sight or takes no runs now.
     not_barred, ///< Its present incarnation may still carry the order out.
-    no_room,
-    gang ///< A gang waits until no order of its members can be carried out.
+    no_room
 };
 
 /// Name of a reason, for logs.
 [[nodiscard]] constexpr std::string_view name_of(hold_reason reason) noexcept
 {
-    constexpr std::array<std::string_view, 4> names{
-        "unusable", "not_barred", "no_room", "gang"};
+    constexpr std::array<std::string_view, 3> names{
+        "unusable", "not_barred", "no_room"};
     return names[static_cast<std::size_t>(reason)];
 }
 
@@ -336,18 +335,33 @@
     /// Starts the gang if all its members fit; otherwise reserves workers and
     /// requests permits.
     bool place_gang(planning_pass& pass, waiting_step& step);
-    /// One worker for each member, or nothing if not all members fit. Without
-    /// `need_permits`, expired permits count too. A non-null `rack` limits the
-    /// choice to that rack.
+    /// Members of a gang that are bound to workers, by their index.
+    struct bound_members
+    {
+        std::map<std::uint32_t, worker_entry*> places;
+        std::map<worker_handle, std::int64_t> on_worker; ///< Their numbers.
+
+        /// Number of further members that fit on a worker beside them.
+        [[nodiscard]] std::int64_t
+        places_left(const worker_entry& worker, const waiting_step& step) const;
+    };
+    /// Finds the bound members of a gang. Returns false if one cannot start on
+    /// its worker now, and records that it is held.
+    bool place_bound_members(
+        planning_pass& pass, const waiting_step& step, bound_members& bound);
+    /// One worker for each member that is not bound, or nothing if not all of
+    /// them fit. Without `need_permits`, expired permits count too. A non-null
+    /// `rack` limits the choice to that rack.
     [[nodiscard]] std::vector<worker_entry*> fit_gang(
         planning_pass& pass,
         waiting_step& step,
         bool need_permits,
-        const rack_name* rack);
+        const rack_name* rack,
+        const bound_members& bound);
     /// As `fit_gang`, within the rack that the members fit into; nothing if
     /// there is none.
-    [[nodiscard]] std::vector<worker_entry*>
-    fit_gang_into_rack(planning_pass& pass, waiting_step& step);
+    [[nodiscard]] std::vector<worker_entry*> fit_gang_into_rack(
+        planning_pass& pass, waiting_step& step, const bound_members& bound);
     /// Reserves workers for a gang that does not fit yet, so that it fits once
     /// their present runs have ended.
     void reserve_workers(planning_pass& pass, waiting_step& step);
--- a/tests/fleet/late_starts_test.cpp
+++ b/tests/fleet/late_starts_test.cpp
@@ -243,6 +243,44 @@
     CHECK(world.run_until("a", job_state::completed, 3s));
 }
 
+// Guards against a gang that waits for 15 s although each of its members could
+// start again where an order to it is open.
+TEST_CASE("a gang starts again beside an open order of a member", "[fleet]")
+{
+    fleet_world world(1, 4);
+    world.workers.late_orders_outlive_restarts = true;
+    world.workers.gang_size = [](const fleet::task_ref&) { return 4U; };
+    world.workers.behaviour = [](const fleet::task_ref&) {
+        return standin::task_behaviour{3s, false};
+    };
+    fleet::step_spec gang = tasks(4, 10); // A worker has room for one.
+    gang.gang = true;
+    world.run(500ms);
+    const worker_id worker("w0");
+    world.workers.faults_of(worker).late = 6s;
+    world.submit("a", {gang});
+    while (world.events.count(event_number::run_started) < 4)
+    {
+        world.run(1ms);
+    }
+    world.workers.faults_of(worker).late = 0ms; // Its repetition is answered.
+    world.run(1s);
+    REQUIRE(world.workers.running() == 4);
+    std::uint32_t bound = 0;
+    while (world.starts_of("a", bound).front().worker != worker)
+    {
+        ++bound;
+    }
+    world.workers.end_runs(
+        {{job_id("a"), 0, 0}, bound}, fleet::run_end::stopped);
+    world.run(1s);
+    REQUIRE(world.starts_of("a", bound).size() == 2);
+    CHECK(world.starts_of("a", bound).back().worker == worker);
+    CHECK(world.run_until("a", job_state::completed, 10s));
+    world.run(5s);
+    CHECK(world.broken_promises().empty());
+}
+
 // Guards against a task that waits although no later incarnation can carry its
 // order out: an incarnation rejects permits of an earlier one.
 TEST_CASE("a task whose order carries a permit may start elsewhere", "[fleet]")
