--- a/tests/fleet/task_runs_test.cpp
+++ b/tests/fleet/task_runs_test.cpp
@@ -315,7 +315,8 @@
 // Guards against a task that runs twice: the worker's next incarnation carried
 // out an order that had got no answer, after it had started a later run.
 TEST_CASE(
-    "a late order starts nothing after a restart that followed it", "[fleet]")
+    "a late order starts nothing on a restarted worker that has a later run",
+    "[fleet]")
 {
     fleet_world world(1, 1);
     world.workers.orders_outlive_restarts = true;
